--- /dev/null
+++ b/internal/simwire/simwire.go
@@ -0,0 +1,339 @@
+// Package simwire drives decision modules over the simulator's wire: frames, units, words and instances.
+package simwire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"onyxgate/policy"
+)
+
+// The wire's words and numbers, in the module's terms.
+var (
+	results  = [...]policy.Result{0, policy.Settled, policy.Errored, policy.Rejected, policy.TimedOut, policy.Unconnected, policy.Broken, policy.Revoked, policy.Moot}
+	replies  = map[int64]policy.Reply{1: policy.Counted, 2: policy.Refused, 3: policy.Refused, 4: policy.Silent, 8: policy.Idle}
+	phases   = [...]policy.Phase{policy.OnTrial, policy.GoingBack, policy.Released, policy.Withdrawn}
+	states   = map[string]policy.State{"on": policy.Running, "fading": policy.Draining, "off": policy.Gone}
+	effects  = map[string]policy.Effect{"repeatable": policy.InquiryLike, "by_key": policy.Referenced, "once": policy.OnceOnly}
+	groups   = map[string]policy.Group{"all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
+	controls = map[string]policy.Control{"single": policy.Single, "majority": policy.Majority, "clocked": policy.Clocked}
+)
+
+// Serve answers batches from r on w until r ends.
+func Serve(r io.Reader, w io.Writer) error {
+	in, out := bufio.NewReaderSize(r, 1<<20), bufio.NewWriterSize(w, 1<<20)
+	h := host{agents: map[string]*instance{}}
+	for line := 1; ; line++ {
+		text, err := in.ReadBytes('\n')
+		if err != nil && !errors.Is(err, io.EOF) {
+			return fmt.Errorf("reading line %d: %w", line, err)
+		}
+		if len(text) > 0 && err == nil || len(text) > 1 {
+			if berr := h.batch(text); berr != nil {
+				return fmt.Errorf("line %d: %w", line, berr)
+			}
+			if _, werr := out.Write(h.reply); werr != nil {
+				return fmt.Errorf("writing: %w", werr)
+			}
+			if ferr := out.Flush(); ferr != nil {
+				return fmt.Errorf("writing: %w", ferr)
+			}
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
+
+type host struct {
+	agents map[string]*instance
+	pools  [16][]policy.Listed
+	reply  []byte
+}
+
+// instance is one agent's module and the port by which it writes actions.
+type instance struct {
+	agent *policy.Agent
+	out   []byte
+}
+
+func (h *host) batch(text []byte) error {
+	if !gjson.ValidBytes(text) {
+		return errors.New("not a JSON value")
+	}
+	b := gjson.ParseBytes(text)
+	clock := b.Get("now-us")
+	if clock.Type != gjson.Number || !b.Get("agents").IsArray() {
+		return errors.New("a batch without now-us or agents")
+	}
+	now := ms(clock)
+	h.reply = append(h.reply[:0], `{"agents":[`...)
+	var err error
+	// A pool belongs to the process and may stand beside the instances or among their events.
+	b.ForEach(func(k, v gjson.Result) bool {
+		switch {
+		case k.Str == "pool":
+			err = h.pool(v)
+		case k.Str == "agents":
+			v.ForEach(func(_, g gjson.Result) bool {
+				err = h.group(now, g)
+				return err == nil
+			})
+		}
+		return err == nil
+	})
+	h.reply = append(h.reply, "]}\n"...)
+	return err
+}
+
+func (h *host) group(now float64, g gjson.Result) error {
+	who := g.Get("who").Str
+	in := h.agents[who]
+	if in == nil {
+		in = &instance{}
+		h.agents[who] = in
+	}
+	in.out = in.out[:0]
+	var err error
+	g.Get("happened").ForEach(func(_, e gjson.Result) bool {
+		e.ForEach(func(name, fields gjson.Result) bool {
+			err = h.event(in, now, name.Str, fields)
+			if err != nil {
+				err = fmt.Errorf("%s, %s: %w", who, name.Str, err)
+			}
+			return err == nil
+		})
+		return err == nil
+	})
+	if err != nil {
+		return err
+	}
+	if len(in.out) > 0 {
+		if h.reply[len(h.reply)-1] != '[' {
+			h.reply = append(h.reply, ',')
+		}
+		h.reply = append(h.reply, `{"who":`...)
+		h.reply = strconv.AppendQuote(h.reply, who)
+		h.reply = append(h.reply, `,"out":[`...)
+		h.reply = append(h.reply, in.out...)
+		h.reply = append(h.reply, "]}"...)
+	}
+	return nil
+}
+
+// event hands one event to the module. A panic there ends the day with its text instead of a guessed action.
+func (h *host) event(in *instance, now float64, name string, f gjson.Result) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			in.act("panic", "line", fmt.Sprint(p))
+		}
+	}()
+	switch name {
+	case "pool":
+		return h.pool(f)
+	case "init":
+		in.agent = start(in, f)
+		return nil
+	}
+	a := in.agent
+	if a == nil {
+		return errors.New("an event for an instance that was never started")
+	}
+	id, app := f.Get("request-id").Str, f.Get("appliance").Str
+	switch name {
+	case "killed":
+		in.agent = nil
+	case "backends-changed":
+		form := f.Get("form").Str
+		if form == "X" {
+			a.ListFailed(now)
+			return nil
+		}
+		slot := f.Get("slot").Int()
+		if slot < 0 || slot >= int64(len(h.pools)) || form != "D" && form != "F" && form != "C" {
+			return fmt.Errorf("list form %q, slot %d", form, slot)
+		}
+		a.List(now, h.pools[slot], form != "D", form == "C")
+	case "knock":
+		a.Txn(now, id, f.Get("affinity").Str, int(f.Get("kind").Int()), int(f.Get("owner").Int()),
+			f.Get("is-retry").Bool(), ms(f.Get("time-budget-us")), ms(f.Get("hint-us")))
+	case "head-received":
+		a.Began(now, id, int(f.Get("copy").Int()))
+	case "done":
+		how := f.Get("how").Int()
+		if how < 1 || how >= int64(len(results)) {
+			return fmt.Errorf("outcome %d", how)
+		}
+		waiting, busy := load(f.Get("feedback"))
+		a.Outcome(now, id, int(f.Get("copy").Int()), results[how], f.Get("final").Bool(), ms(f.Get("took-us")), waiting, busy)
+	case "hangup":
+		a.Hangup(now, id)
+	case "wakeup":
+		a.Wake(now, f.Get("label").Uint())
+	case "checked":
+		waiting, busy := load(f.Get("feedback"))
+		a.Probed(now, app, f.Get("how").Int() == 1, ms(f.Get("took-us")), waiting, busy)
+	case "mail":
+	case "promotion":
+		phase := f.Get("standing").Int()
+		if phase < 0 || phase >= int64(len(phases)) {
+			return fmt.Errorf("standing %d", phase)
+		}
+		reply := policy.Unasked
+		if f.Get("how").Int() == 1 {
+			reply = replies[f.Get("status").Int()]
+		}
+		a.News(now, int(f.Get("ver").Int()), int(f.Get("wave").Int()), phases[phase], reply,
+			f.Get("ceiling").Num, ms(f.Get("old-us")), f.Get("status").Int() == 1)
+	case "counts-by-build":
+		a.Counted(now, int(f.Get("ver").Int()), int(f.Get("kind").Int()), int(f.Get("many").Int()),
+			int(f.Get("bad").Int()), ms(f.Get("took-us")))
+	case "reported-wrong":
+		a.ReportedWrong(now, app, int(f.Get("kind").Int()), ms(f.Get("old-us")))
+	default:
+		return errors.New("unknown event")
+	}
+	return nil
+}
+
+func (h *host) pool(f gjson.Result) error {
+	slot := f.Get("slot").Int()
+	if slot < 0 || slot >= int64(len(h.pools)) {
+		return fmt.Errorf("slot %d", slot)
+	}
+	var list []policy.Listed
+	f.Get("items").ForEach(func(_, e gjson.Result) bool {
+		list = append(list, policy.Listed{
+			ID: e.Get("appliance").Str, Build: int(e.Get("ver").Num), State: states[e.Get("condition").Str],
+			Rating: e.Get("rating").Num, Start: ms(e.Get("boot-time-us")), Zone: int(e.Get("site").Int()),
+			Kind: int(e.Get("machine").Int()), Cell: int(e.Get("stripe").Int()),
+		})
+		return true
+	})
+	h.pools[slot] = list
+	return nil
+}
+
+// start reads the settings and hands each part of a new module its own.
+func start(in *instance, f gjson.Result) *policy.Agent {
+	s := f.Get("profile-data")
+	rules, fam, lim := s.Get("contract"), s.Get("family-info"), s.Get("limits")
+	var products []policy.Product
+	s.Get("grades").ForEach(func(_, g gjson.Result) bool {
+		products = append(products, policy.Product{
+			SLA: ms(g.Get("aim-us")), Stretch: g.Get("aim-stretch").Num, Expiry: ms(g.Get("deadline-us")),
+			Revenue: g.Get("worth").Num, Late: g.Get("late-value").Num, Effect: effects[g.Get("effect").Str],
+			Group: groups[g.Get("key-scope").Str], Remember: ms(g.Get("key-ttl-us")), Streamed: g.Get("streamed").Bool(),
+		})
+		return true
+	})
+	a := policy.New(in, f.Get("prng").Uint(), int(s.Get("me").Int()), int(s.Get("balancers").Int()))
+	a.Serve(products, int(lim.Get("max-attempts").Int()), lim.Get("parallel-tries").Bool(), lim.Get("cancel").Bool())
+	wait := 0.0
+	if lim.Get("retry-after").Bool() {
+		wait = ms(lim.Get("max-retry-after-us"))
+	}
+	a.Advise(wait)
+	a.Zone(int(s.Get("zone").Int()), s.Get("tariffs.cross-zone").Num > 0)
+	a.Watch(s.Get("discovery").Str == "subscribe", ms(rules.Get("drain-grace-us")), ms(rules.Get("ask-every-us")))
+	a.Warm(rules.Get("cold-from").Num, ms(rules.Get("warm-up-us")), rules.Get("overload-factor").Num, ms(rules.Get("fall-us")))
+	a.Expose(fam.Get("spare-tries").Num, numbers(fam.Get("most-shares")), int(fam.Get("guarded-stages").Int()),
+		fam.Get("counted-by").Str == "per_lane", fam.Get("keys-stay").Bool())
+	a.Judge(numbers(fam.Get("rings")), controls[fam.Get("decided-by").Str], ms(fam.Get("ballot-ttl-us")),
+		ms(fam.Get("call-timeout-us")))
+	quotas := []float64{}
+	s.Get("customers").ForEach(func(_, c gjson.Result) bool {
+		quotas = append(quotas, c.Get("quota-per-s").Num/1000)
+		return true
+	})
+	a.Tenants(quotas, s.Get("over-share-worth").Num)
+	return a
+}
+
+func numbers(list gjson.Result) []float64 {
+	var out []float64
+	list.ForEach(func(_, v gjson.Result) bool {
+		out = append(out, v.Num)
+		return true
+	})
+	return out
+}
+
+// load reads what a load report may tell; -1 stands for a figure that is not there.
+func load(f gjson.Result) (waiting, busy float64) {
+	waiting, busy = -1, -1
+	if v := f.Get("q"); v.Type == gjson.Number {
+		waiting = v.Num
+	} else if v := f.Get("rif"); v.Type == gjson.Number {
+		waiting = v.Num
+	}
+	if v := f.Get("busy"); v.Type == gjson.Number {
+		busy = v.Num
+	}
+	return waiting, busy
+}
+
+func ms(v gjson.Result) float64 { return float64(v.Int()) / 1000 }
+
+// act writes one action; fields come as name and value in turn.
+func (in *instance) act(name string, fields ...any) {
+	if len(in.out) > 0 {
+		in.out = append(in.out, ',')
+	}
+	in.out = append(in.out, `{"`+name+`":{`...)
+	for i := 0; i+1 < len(fields); i += 2 {
+		if i > 0 {
+			in.out = append(in.out, ',')
+		}
+		in.out = append(in.out, `"`+fields[i].(string)+`":`...)
+		switch v := fields[i+1].(type) {
+		case string:
+			in.out = gjson.AppendJSONString(in.out, v)
+		case float64: // milliseconds; the wire counts whole microseconds
+			in.out = strconv.AppendInt(in.out, int64(v*1000+0.5), 10)
+		case int:
+			in.out = strconv.AppendInt(in.out, int64(v), 10)
+		case uint64:
+			in.out = strconv.AppendUint(in.out, v, 10)
+		case bool:
+			in.out = strconv.AppendBool(in.out, v)
+		}
+	}
+	in.out = append(in.out, "}}"...)
+}
+
+func (in *instance) Submit(txn, appliance string, limit float64) {
+	in.act("place", "request-id", txn, "appliance", appliance, "limit-us", limit)
+}
+
+func (in *instance) Decline(txn string, wait float64) {
+	in.act("deny", "request-id", txn, "wait-us", wait)
+}
+
+func (in *instance) Void(txn string) { in.act("surrender", "request-id", txn) }
+
+func (in *instance) Revoke(txn string, submission int) {
+	in.act("revoke", "request-id", txn, "copy", submission)
+}
+
+func (in *instance) Vote(build int, verdict policy.Verdict, stage int) {
+	word := map[policy.Verdict]int{policy.On: 1, policy.Hold: 2, policy.Back: 3}[verdict]
+	in.act("say-so", "ver", build, "how", word, "wave", stage)
+}
+
+func (in *instance) Probe(appliance string) { in.act("probe", "appliance", appliance) }
+
+func (in *instance) Timer(after float64, token uint64) {
+	in.act("notify-me", "after-us", after, "label", token)
+}
+
+func (in *instance) Subscribe() { in.act("stream-changes", "active", true) }
+
+func (in *instance) FetchList() { in.act("read-list") }
+
+func (in *instance) Log(line string) { in.act("log", "line", line) }
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,1161 @@
+package policy
+
+// How to call: New, then each part's own call (Serve, Advise, Zone, Watch, Warm, Expose, Judge, Tenants) with its few
+// settings, then one call for each event with the time it came at. Every call ends by going through the
+// ordered rules below until none fires; they act through Port (port.go). Time and seed come only from outside.
+
+import (
+	"container/heap"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// The design's figures, and those it leaves open.
+const (
+	zoneLatency = 0.10 // per latency percentile
+	zoneSingle  = 0.05 // for single figures
+	agreeCV     = 0.15 // gate two's bound on slices
+	farMore     = 2.0  // slices differ so many times more than halves of one: they do not agree
+	floorOn     = 3000 // no 'on' sooner after the stage's listed start times
+	wait        = 4000 // short of outcomes, 'on' comes after this barring a regression
+	cut         = 5    // slices
+	leastSample = 20   // outcomes by build and product
+	onLevel     = 2.13 // Student's t, four degrees: 90%
+	backLevel   = 4.60 // the same at 99%: the agent looks often, and one vote may undo a good build
+	sureBack    = 0.99 // posterior mass beyond the zone that a failure share needs
+	keep        = 400  // outcomes kept by build and product
+
+	coldMargin   = 0.7  // part of the cold budget used: work varies, and other agents are not seen
+	coldDepth    = 0.25 // part of the budget's window that may go at once, against a burst on a fresh machine
+	paceTime     = 4000 // over which the load that warm appliances bear is averaged
+	doubtTime    = 5000 // over which an appliance's record fades
+	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
+	copyAfter    = 0.45 // of the SLA time: a second copy may go
+	copyShare    = 0.05 // second copies for each txn
+	declineAt    = 0.8  // expected wait over SLA time at which the dearest are declined
+	retryPause   = 25   // between looks for a place
+	endGuard     = 12   // the final answer leaves so long before the expiry
+	judgePause   = 200
+	renewAt      = 0.7 // of a vote's life, and up to 0.2 later, so that renewals scatter
+	capPart      = 0.9 // of the cap: the trial share that is aimed at
+	askPart      = 0.3 // of the time within which the list must be asked for
+	popularShare = 0.2 // of the cap: a key with more of the txns is not taken into a trial
+)
+
+// mwc is a lag-1 multiply-with-carry generator.
+type mwc struct{ x, c uint64 }
+
+func (g *mwc) next() uint64 {
+	t := 4294957665*g.x + g.c
+	g.x, g.c = t&0xffffffff, t>>32
+	return g.x
+}
+
+func (g *mwc) Uint64() uint64 { return g.next()<<32 | g.next() }
+
+// submission is one try of a txn at an appliance.
+type submission struct {
+	app, build int
+	at         float64
+	out        bool // no outcome yet
+	unrun      bool // proven not to have run
+	late       bool // already held against the appliance
+}
+
+type txn struct {
+	id, key   string
+	product   int
+	came, sla float64
+	expiry    float64
+	work      float64 // told cost, 1 where none is told
+	subs      []submission
+	out       int
+	ended     bool
+	took      bool // a stream has begun: no expiry holds any more
+}
+
+type alarm struct {
+	at float64
+	t  *txn
+}
+
+type alarms []alarm
+
+func (h alarms) Len() int           { return len(h) }
+func (h alarms) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h alarms) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *alarms) Push(x any)        { *h = append(*h, x.(alarm)) }
+func (h *alarms) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// outcome is one submission's end as evidence on a build.
+type outcome struct {
+	at, lat float64
+	bad     bool
+	app     int
+	steady  bool // its latency counts
+}
+
+// fleet holds what is known of each appliance, in parallel arrays under a small index.
+type fleet struct {
+	index                       map[string]int
+	id                          []string
+	builds, zones, kinds, cells []int
+	state                       []State
+	rating, start               []float64
+	open                        []int
+	good, poor, seenAt          []float64 // fading record of answers within the SLA time and others
+	rel                         []float64 // latency against the product's usual
+	level, levelAt              []float64 // cold budget
+	recent                      [][]float64
+	asked, subscribed, failed   bool
+	grace, within, askAt        float64
+}
+
+// trial is what is known of the newest build.
+type trial struct {
+	newest, stage int
+	phase         Phase
+	known         bool
+	places        int
+	begun         float64 // when this stage's window began; 0: not yet
+	lastStart     float64
+	evidence      [2][][]outcome // earlier and newest build, by product
+	judgeAt       float64
+	want          Verdict
+	stands        Verdict
+	standsStage   int
+	renew, voteAt float64
+	pending       bool
+	asking        Verdict
+	askingStage   int
+}
+
+// Agent is one instance of the decisions.
+type Agent struct {
+	port           Port
+	now            float64
+	rnd            *rand.Rand
+	salt           uint64
+	agents         int
+	products       []Product
+	maxSubs        int
+	copies, revoke bool
+	maxWait        float64
+	zone           int
+	zonePriced     bool
+
+	coldFrom, warmTime, multiple, fall float64
+	free                               float64
+	caps                               []float64
+	guarded                            int
+	perProduct, keysStay               bool
+	allow                              map[int][]float64 // by build: what may still go, by product
+	cap                                float64
+	ties                               map[string]int
+	sightings                          map[string]float64
+	taken                              float64
+
+	stages  []float64
+	control Control
+	life    float64
+
+	fleet
+	trial
+	txns           map[string]*txn
+	todo           []*txn
+	alarms         alarms
+	armed          float64
+	token          uint64
+	usual          []float64 // mean latency by product
+	pace, paceAt   float64
+	paceAge        float64
+	spare          float64
+	opened         int
+	served, meanMs float64
+	servedAt       float64
+	worth          float64 // mean revenue
+	workMean       float64
+}
+
+// New makes an agent; seed starts its generator.
+func New(port Port, seed uint64, me, agents int) *Agent {
+	g := &mwc{x: seed&0xffffffff | 1, c: seed >> 32 % 4294957664}
+	a := &Agent{port: port, rnd: rand.New(g), agents: max(agents, 1), txns: map[string]*txn{}, armed: math.Inf(1)}
+	a.salt = g.Uint64()
+	a.allow, a.ties, a.sightings = map[int][]float64{}, map[string]int{}, map[string]float64{}
+	a.index = map[string]int{}
+	a.judgeAt = math.Inf(1)
+	return a
+}
+
+func (a *Agent) Serve(products []Product, maxSubs int, copies, revoke bool) {
+	a.products, a.maxSubs, a.copies, a.revoke = products, maxSubs, copies, revoke
+	a.usual = make([]float64, len(products))
+	for i := range a.evidence {
+		a.evidence[i] = make([][]outcome, len(products))
+	}
+}
+
+func (a *Agent) Advise(maxWait float64) { a.maxWait = maxWait }
+
+func (a *Agent) Zone(zone int, priced bool) { a.zone, a.zonePriced = zone, priced }
+
+func (a *Agent) Watch(asked bool, grace, within float64) {
+	a.asked, a.grace, a.within = asked, grace, within
+}
+
+func (a *Agent) Warm(from, time, multiple, fall float64) {
+	a.coldFrom, a.warmTime, a.multiple, a.fall = from, time, multiple, fall
+}
+
+func (a *Agent) Expose(free float64, caps []float64, guarded int, perProduct, keysStay bool) {
+	a.free, a.caps, a.guarded, a.perProduct, a.keysStay = free, caps, guarded, perProduct, keysStay
+}
+
+func (a *Agent) Judge(stages []float64, control Control, life, timeout float64) {
+	a.stages, a.control, a.life = stages, control, life
+}
+
+func (a *Agent) Tenants(quotas []float64, overWorth float64) {}
+
+// rule is a condition and an effect that makes the condition false.
+type rule struct {
+	name string
+	when func(*Agent) bool
+	do   func(*Agent)
+}
+
+// rules are gone through in order after every input, from the top again after each that fires.
+var rules []rule
+
+func init() {
+	rules = []rule{
+		{"ring", func(a *Agent) bool { return len(a.alarms) > 0 && a.alarms[0].at <= a.now }, (*Agent).ring},
+		{"pass over", func(a *Agent) bool { return len(a.todo) > 0 && a.todo[0].ended }, (*Agent).next},
+		{"last moment", func(a *Agent) bool {
+			return len(a.todo) > 0 && !a.todo[0].took && a.now >= a.todo[0].expiry-endGuard
+		}, func(a *Agent) { a.end(a.todo[0]) }},
+		{"route", func(a *Agent) bool { return len(a.todo) > 0 && a.todo[0].out == 0 }, (*Agent).route},
+		{"copy", func(a *Agent) bool { return len(a.todo) > 0 }, (*Agent).second},
+		{"ask", func(a *Agent) bool { return a.asked && !a.subscribed && a.now >= a.askAt }, (*Agent).ask},
+		{"judge", func(a *Agent) bool { return a.now >= a.judgeAt }, (*Agent).judge},
+		{"vote", (*Agent).voteDue, (*Agent).vote},
+		{"arm", func(a *Agent) bool { return len(a.alarms) > 0 && a.alarms[0].at < a.armed }, (*Agent).arm},
+	}
+}
+
+func (a *Agent) settle() {
+	for i := 0; i < len(rules); i++ {
+		if rules[i].when(a) {
+			rules[i].do(a)
+			i = -1
+		}
+	}
+}
+
+func (a *Agent) ring() {
+	if t := heap.Pop(&a.alarms).(alarm).t; t != nil && !t.ended {
+		a.todo = append(a.todo, t)
+	}
+}
+
+func (a *Agent) next() { a.todo = a.todo[1:] }
+
+func (a *Agent) look(at float64, t *txn) { heap.Push(&a.alarms, alarm{at, t}) }
+
+func (a *Agent) arm() {
+	a.token++
+	a.armed = a.alarms[0].at
+	a.port.Timer(max(a.armed-a.now, 0.001), a.token)
+}
+
+// ---- the list
+
+func (a *Agent) ask() {
+	a.port.Subscribe()
+	a.subscribed = true // until a failure is told
+	a.failed = false
+}
+
+// ListFailed: a failure does not say which call it was, so the subscription is asked for again, later each time.
+func (a *Agent) ListFailed(now float64) {
+	a.now = now
+	pause := a.within * askPart * (0.1 + 0.2*a.rnd.Float64())
+	if a.failed {
+		pause *= 3
+	}
+	a.subscribed, a.failed, a.askAt = false, true, now+pause
+	a.look(a.askAt, nil)
+	a.settle()
+}
+
+// List takes entries as the list shows them; whole lists drop what they no longer name.
+func (a *Agent) List(now float64, entries []Listed, whole, old bool) {
+	a.now = now
+	if whole {
+		for i := range a.state {
+			a.state[i] = Gone
+		}
+	}
+	for _, e := range entries {
+		i, ok := a.index[e.ID]
+		if !ok {
+			i = len(a.id)
+			a.index[e.ID] = i
+			a.id = append(a.id, e.ID)
+			a.builds, a.zones = append(a.builds, 0), append(a.zones, 0)
+			a.kinds, a.cells = append(a.kinds, 0), append(a.cells, 0)
+			a.state, a.rating, a.start = append(a.state, Gone), append(a.rating, 1), append(a.start, -1)
+			a.open, a.good, a.poor = append(a.open, 0), append(a.good, 0), append(a.poor, 0)
+			a.seenAt, a.rel, a.recent = append(a.seenAt, 0), append(a.rel, 1), append(a.recent, nil)
+			a.level, a.levelAt = append(a.level, 0), append(a.levelAt, now)
+		}
+		if a.start[i] != e.Start || a.builds[i] != e.Build {
+			// A re-used id or a restart: nothing learned of the former process holds, and it is cold.
+			a.good[i], a.poor[i], a.rel[i], a.recent[i], a.level[i], a.levelAt[i] = 0, 0, 1, nil, 0, now
+		}
+		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
+		a.state[i], a.rating[i], a.start[i] = e.State, max(e.Rating, 0.01), e.Start
+	}
+	a.settle()
+}
+
+// coldness is the part of its capacity that an appliance has at the least.
+func (a *Agent) coldness(i int) float64 {
+	if a.start[i] <= 0 || a.warmTime <= 0 || a.now-a.start[i] >= a.warmTime {
+		return 1
+	}
+	return a.coldFrom + (1-a.coldFrom)*max(a.now-a.start[i], 0)/a.warmTime
+}
+
+// ---- guards: every submission passes mayGo and send, every final answer passes end
+
+// capOf is the cap on a build, and whether the build is on trial at all.
+func (a *Agent) capOf(build int) (float64, bool) {
+	switch {
+	case !a.known || build < a.newest || build == a.newest && a.phase == Released:
+		return 1, false
+	case build == a.newest:
+		return a.cap, true
+	case len(a.caps) > 0:
+		return a.caps[0], true
+	}
+	return 0, true
+}
+
+// mayGo guards rules 2 to 5 for one submission of t to appliance i.
+func (a *Agent) mayGo(t *txn, i int) bool {
+	if t.ended || a.now >= t.expiry || len(t.subs) >= a.maxSubs || t.out > 1 || t.out == 1 && !a.copies {
+		return false
+	}
+	// Stricter than the grace: nothing goes where the list shows a drain.
+	if a.state[i] != Running {
+		return false
+	}
+	p := &a.products[t.product]
+	for _, s := range t.subs {
+		if s.unrun {
+			continue
+		}
+		if p.Effect == OnceOnly {
+			return false
+		}
+		if p.Effect == Referenced {
+			if a.now >= s.at+p.Remember || p.Group == GroupZone && a.zones[s.app] != a.zones[i] ||
+				p.Group == GroupCell && a.cells[s.app] != a.cells[i] {
+				return false
+			}
+			break // the first that may have run binds
+		}
+	}
+	return a.exposed(t, i) && a.warmEnough(t, i)
+}
+
+// exposed keeps the cap by a bucket: in any stretch of time no more than free + cap x txns taken in it can leave.
+func (a *Agent) exposed(t *txn, i int) bool {
+	if tie, ok := a.ties[t.key]; ok && t.key != "" && a.builds[i] < tie {
+		return false
+	}
+	limit, on := a.capOf(a.builds[i])
+	if !on {
+		return true
+	}
+	stage := a.stage
+	if a.builds[i] > a.newest {
+		stage = 0
+	}
+	if limit <= 0 || stage < a.guarded && a.products[t.product].Effect != InquiryLike {
+		return false
+	}
+	return a.bucket(a.builds[i])[a.lane(t.product)] >= 1
+}
+
+func (a *Agent) lane(product int) int {
+	if a.perProduct {
+		return product
+	}
+	return 0
+}
+
+func (a *Agent) bucket(build int) []float64 {
+	b := a.allow[build]
+	if b == nil {
+		b = make([]float64, max(len(a.products), 1))
+		for k := range b {
+			b[k] = a.free
+		}
+		a.allow[build] = b
+	}
+	return b
+}
+
+// warmEnough keeps the cold budget: a part, by the least warmth, of what warm appliances are seen to serve.
+func (a *Agent) warmEnough(t *txn, i int) bool {
+	c := a.coldness(i)
+	if c >= 1 {
+		return true
+	}
+	pace := a.pace / paceTime / max(1-math.Exp(-a.paceAge/paceTime), 0.05) * a.rating[i]
+	// One core at the least bears one txn per latency, shared by all agents: the floor where nothing warm is seen.
+	mean := a.meanMs
+	if mean == 0 {
+		mean = a.products[t.product].SLA
+	}
+	rate := coldMargin * a.multiple * c * max(pace, 1/(mean*float64(a.agents)))
+	a.level[i] = min(a.level[i]+rate*(a.now-a.levelAt[i]), max(rate*a.fall*coldDepth, 1))
+	a.levelAt[i] = a.now
+	return a.level[i] >= min(t.work, 1)
+}
+
+// send submits; the caller has asked mayGo.
+func (a *Agent) send(t *txn, i int) {
+	if _, on := a.capOf(a.builds[i]); on {
+		a.bucket(a.builds[i])[a.lane(t.product)]--
+	}
+	if a.coldness(i) < 1 {
+		a.level[i] -= t.work
+	}
+	t.subs = append(t.subs, submission{app: i, build: a.builds[i], at: a.now, out: true})
+	t.out++
+	a.open[i]++
+	a.opened++
+	a.port.Submit(t.id, a.id[i], 0)
+}
+
+// end gives the one final answer: a decline where nothing can have run or a repeat does no harm, else a void.
+func (a *Agent) end(t *txn) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	p := &a.products[t.product]
+	clean := true
+	for _, s := range t.subs {
+		clean = clean && s.unrun
+	}
+	if clean || p.Effect == InquiryLike || p.Effect == Referenced && p.Group == GroupAll {
+		a.port.Decline(t.id, a.maxWait*min(1, 0.25+0.5*a.rnd.Float64()))
+	} else {
+		a.port.Void(t.id)
+	}
+	a.drop(t)
+}
+
+// drop calls off what is still out for an ended txn and forgets it once nothing is.
+func (a *Agent) drop(t *txn) {
+	t.ended = true
+	if t.out == 0 {
+		delete(a.txns, t.id)
+		return
+	}
+	for k := range t.subs {
+		if s := &t.subs[k]; s.out && a.revoke && !s.late {
+			s.late = true
+			a.port.Revoke(t.id, k)
+		}
+	}
+}
+
+// ---- routing
+
+// Txn takes a txn; left is the time of this try.
+func (a *Agent) Txn(now float64, id, key string, product, tenant int, again bool, left, hint float64) {
+	a.now = now
+	p := &a.products[product]
+	t := &txn{id: id, key: key, product: product, came: now, expiry: now + left, sla: now + p.SLA, work: 1}
+	if hint > 0 {
+		if a.workMean == 0 {
+			a.workMean = hint
+		}
+		a.workMean += 0.02 * (hint - a.workMean)
+		t.work = hint / a.workMean
+		t.sla += p.Stretch * hint
+	}
+	t.sla = min(t.sla, t.expiry)
+	a.taken++
+	a.sightings[key]++
+	a.worth += (p.Revenue*t.work - a.worth) * max(0.01, 1/a.taken)
+	a.spare = min(a.spare+copyShare, 5)
+	for build, b := range a.allow {
+		if limit, on := a.capOf(build); on {
+			b[a.lane(product)] = min(b[a.lane(product)]+limit, a.free)
+		}
+	}
+	a.txns[id] = t
+	a.todo = append(a.todo, t)
+	a.look(t.expiry-endGuard, t)
+	a.settle()
+}
+
+// hopeless tells that an answer within the SLA time can no longer be had: by Little's law the own open
+// submissions over the own rate of answers is the wait to expect. The dear are declined last.
+func (a *Agent) hopeless(t *txn) bool {
+	if a.products[t.product].Late == 0 && a.now >= t.sla {
+		return true
+	}
+	rate := a.rate()
+	if len(t.subs) > 0 || a.opened < 8 || rate <= 0 {
+		return false
+	}
+	dear := min(max(a.products[t.product].Revenue*t.work/a.worth, 0.6), 1.2)
+	return float64(a.opened)/rate > declineAt*dear*(t.sla-a.now)
+}
+
+// rate is the own answers per millisecond over the last second or so.
+func (a *Agent) rate() float64 { return a.served * math.Exp(-(a.now-a.servedAt)/1000) / 1000 }
+
+func (a *Agent) route() {
+	t := a.todo[0]
+	a.next()
+	if len(t.subs) >= a.maxSubs || a.hopeless(t) {
+		a.end(t)
+		return
+	}
+	if i := a.pick(t); i >= 0 {
+		a.send(t, i)
+		p := &a.products[t.product]
+		a.look(a.now+copyAfter*p.SLA, t)
+		a.look(t.sla, t)
+		return
+	}
+	// No place is open just now: an exposure or cold budget refills, a list change may come. Not past the point
+	// where an answer in time can be had.
+	if a.now+retryPause+a.usual[t.product] < t.sla {
+		a.look(a.now+retryPause, t)
+		return
+	}
+	a.end(t)
+}
+
+// second holds an overdue submission against its appliance and, within a small budget, sends one more copy.
+func (a *Agent) second() {
+	t := a.todo[0]
+	a.next()
+	p := &a.products[t.product]
+	for k := range t.subs {
+		if s := &t.subs[k]; s.out && !s.late && a.now >= t.sla {
+			s.late = true
+			a.note(s.app, false)
+		}
+	}
+	if p.Effect == OnceOnly || t.took || t.out != 1 || a.spare < 1 || a.now >= t.sla ||
+		a.now < t.subs[len(t.subs)-1].at+copyAfter*p.SLA {
+		return
+	}
+	if i := a.pick(t); i >= 0 {
+		a.spare--
+		a.send(t, i)
+	}
+}
+
+// share is the part of the txns that the newest build gets: its machines' share, within the cap.
+func (a *Agent) share() float64 {
+	var neu, all float64
+	limit := 0.0
+	for i := range a.id {
+		if a.state[i] != Running {
+			continue
+		}
+		w := a.rating[i] * a.coldness(i)
+		all += w
+		if l, on := a.capOf(a.builds[i]); on {
+			neu += w
+			limit = max(limit, l*capPart)
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	if limit >= capPart {
+		limit = 1
+	}
+	return min(neu/all, limit)
+}
+
+// pick chooses the arm, then of two random appliances in it the one with less to do.
+func (a *Agent) pick(t *txn) int {
+	trial := a.draw(t) < a.share()
+	if trial && a.keysStay && a.cap < 1 && t.key != "" && a.ties[t.key] == 0 &&
+		a.sightings[t.key] > 2+popularShare*a.cap*a.taken {
+		trial = false // a popular key, once tied, could need more than the allowance
+	}
+	if len(t.subs) > 0 && t.subs[len(t.subs)-1].build >= a.newest {
+		trial = false // what failed on the trial build is tried elsewhere
+	}
+	if i := a.pickIn(t, trial); i >= 0 {
+		return i
+	}
+	if !trial && t.key != "" && a.keysStay && a.cap < 1 && a.ties[t.key] == 0 {
+		return -1
+	}
+	return a.pickIn(t, !trial)
+}
+
+// draw is a txn's place in [0,1): by key where keys stay with a build, so that the trial's keys are the same ones.
+func (a *Agent) draw(t *txn) float64 {
+	if !a.keysStay || t.key == "" {
+		return a.rnd.Float64()
+	}
+	h := fnv.New64a()
+	h.Write([]byte(t.key))
+	x := (h.Sum64() ^ a.salt ^ uint64(a.newest)*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return float64((x^x>>29)>>11) / (1 << 53)
+}
+
+func (a *Agent) pickIn(t *txn, trial bool) int {
+	var open, fresh []int
+	for i := range a.id {
+		if _, on := a.capOf(a.builds[i]); on != trial || !a.mayGo(t, i) {
+			continue
+		}
+		open = append(open, i)
+		if !slices.ContainsFunc(t.subs, func(s submission) bool { return s.app == i }) {
+			fresh = append(fresh, i)
+		}
+	}
+	if len(fresh) > 0 {
+		open = fresh
+	} else if t.out > 0 {
+		return -1 // a second copy beside the first helps nothing
+	}
+	best, bestLoad := -1, math.Inf(1)
+	for n := 0; n < 2 && len(open) > 0; {
+		k := a.rnd.IntN(len(open))
+		i := open[k]
+		open[k] = open[len(open)-1]
+		open = open[:len(open)-1]
+		if best >= 0 && a.doubted(i) || best < 0 && len(open) > 0 && a.doubted(i) {
+			continue
+		}
+		n++
+		if load := a.load(i); load < bestLoad {
+			best, bestLoad = i, load
+		}
+	}
+	return best
+}
+
+func (a *Agent) load(i int) float64 {
+	return (float64(a.open[i]) + 1) / (a.rating[i] * a.coldness(i)) * a.rel[i]
+}
+
+// doubted draws the appliance's chance of an answer in time from its posterior and holds it against the fleet's.
+func (a *Agent) doubted(i int) bool {
+	f := math.Exp(-(a.now - a.seenAt[i]) / doubtTime)
+	if a.poor[i]*f < 0.5 {
+		return false
+	}
+	var good, poor float64
+	for k := range a.id {
+		f := math.Exp(-(a.now - a.seenAt[k]) / doubtTime)
+		good, poor = good+a.good[k]*f, poor+a.poor[k]*f
+	}
+	drawn := distuv.Beta{Alpha: 1 + a.good[i]*f, Beta: 1 + a.poor[i]*f, Src: a.rnd}.Rand()
+	return drawn < doubtBar*(good+1)/(good+poor+1)
+}
+
+func (a *Agent) note(i int, good bool) {
+	f := math.Exp(-(a.now - a.seenAt[i]) / doubtTime)
+	a.good[i], a.poor[i], a.seenAt[i] = a.good[i]*f, a.poor[i]*f, a.now
+	if good {
+		a.good[i]++
+	} else {
+		a.poor[i]++
+	}
+}
+
+// Began: the stream belongs to the client now; no expiry holds.
+func (a *Agent) Began(now float64, id string, sub int) {
+	a.now = now
+	if t := a.txns[id]; t != nil {
+		t.took = true
+	}
+	a.settle()
+}
+
+// Hangup: the client has gone; an id no longer held is passed over.
+func (a *Agent) Hangup(now float64, id string) {
+	a.now = now
+	if t := a.txns[id]; t != nil && !t.ended {
+		a.drop(t)
+	}
+	a.settle()
+}
+
+func (a *Agent) Wake(now float64, token uint64) {
+	a.now = now
+	if token == a.token {
+		a.armed = math.Inf(1)
+	}
+	a.settle()
+}
+
+func (a *Agent) Probed(now float64, app string, ok bool, took, waiting, busy float64) {
+	a.now = now
+	a.settle()
+}
+
+// Outcome ends one submission.
+func (a *Agent) Outcome(now float64, id string, sub int, r Result, final bool, took, waiting, busy float64) {
+	a.now = now
+	t := a.txns[id]
+	if t == nil || sub < 0 || sub >= len(t.subs) || !t.subs[sub].out {
+		a.settle()
+		return
+	}
+	s := &t.subs[sub]
+	s.out = false
+	s.unrun = r == Rejected || r == Unconnected || r == Moot
+	t.out--
+	i := s.app
+	a.open[i]--
+	a.opened--
+	p := &a.products[t.product]
+	if r != Revoked && r != Moot && !s.late {
+		a.note(i, r == Settled && now <= t.sla)
+	}
+	if r == Settled {
+		a.served, a.servedAt = a.served*math.Exp(-(now-a.servedAt)/1000)+1, now
+		a.learn(i, t, took)
+		if t.key != "" && a.keysStay {
+			if _, on := a.capOf(s.build); on || s.build == a.newest && a.phase == Released {
+				a.ties[t.key] = max(a.ties[t.key], s.build)
+			}
+		}
+	}
+	a.witness(s, t, r, took)
+	if final && !t.ended {
+		t.ended = true
+	}
+	if t.ended {
+		a.drop(t)
+	} else if t.out == 0 {
+		if p.Effect == InquiryLike || s.unrun || p.Effect == Referenced {
+			a.todo = append(a.todo, t)
+		} else {
+			a.end(t)
+		}
+	}
+	a.settle()
+}
+
+// learn keeps the usual latencies and the load that warm appliances bear.
+func (a *Agent) learn(i int, t *txn, took float64) {
+	u := &a.usual[t.product]
+	if *u == 0 {
+		*u = took
+	}
+	*u += 0.02 * (took - *u)
+	if a.meanMs == 0 {
+		a.meanMs = took
+	}
+	a.meanMs += 0.02 * (took - a.meanMs)
+	a.rel[i] += 0.1 * (min(max(took/max(*u, 1), 0.2), 10) - a.rel[i])
+	warm := 0.0
+	for k := range a.id {
+		if a.state[k] == Running && a.coldness(k) >= 1 {
+			warm += a.rating[k]
+		}
+	}
+	if warm > 0 && a.coldness(i) >= 1 {
+		if a.paceAt > 0 {
+			dt := a.now - a.paceAt
+			a.pace, a.paceAge = a.pace*math.Exp(-dt/paceTime), a.paceAge+dt
+		}
+		a.pace, a.paceAt = a.pace+t.work/warm, a.now
+	}
+}
+
+// ---- the trial: evidence, gates, votes
+
+// News tells where the newest build stands; reply is set when it answers a vote.
+func (a *Agent) News(now float64, build, stage int, phase Phase, reply Reply, limit, age float64, told bool) {
+	a.now = now
+	if reply != Unasked && a.pending {
+		a.pending = false
+		switch reply {
+		case Counted:
+			a.stands, a.standsStage = a.asking, a.askingStage
+			a.renew = now + a.life*(renewAt+0.2*a.rnd.Float64())
+		default:
+			a.voteAt = now + 150 + 350*a.rnd.Float64()
+			a.look(a.voteAt, nil)
+		}
+	}
+	if reply == Unasked || told {
+		if !a.known || build != a.newest {
+			a.offered(build)
+		}
+		if stage != a.stage || phase != a.phase {
+			a.begun = 0
+		}
+		if phase == GoingBack || phase == Withdrawn {
+			for k, b := range a.ties {
+				if b == build {
+					delete(a.ties, k)
+				}
+			}
+		}
+		a.known, a.newest, a.stage, a.phase, a.cap = true, build, stage, phase, limit
+	}
+	a.settle()
+}
+
+// offered turns the page: what a released build has shown becomes the earlier build's record.
+func (a *Agent) offered(build int) {
+	if a.known && a.phase == Released {
+		a.evidence[0], a.evidence[1] = a.evidence[1], a.evidence[0]
+	}
+	for p := range a.evidence[1] {
+		a.evidence[1][p] = nil
+	}
+	a.places = 0
+	for i := range a.id {
+		if a.state[i] == Running && a.builds[i] < build {
+			a.places++
+		}
+	}
+	a.begun, a.want, a.stands, a.stage = 0, None, None, -1
+	a.judgeAt = a.now
+}
+
+// witness files a submission's end as evidence. Proven not run, called off: no word on the build.
+func (a *Agent) witness(s *submission, t *txn, r Result, took float64) {
+	if !a.known || r == Rejected || r == Unconnected || r == Moot || r == Revoked {
+		return
+	}
+	arm := 0
+	if s.build >= a.newest {
+		arm = 1
+	}
+	o := outcome{at: a.now, lat: took / t.work, bad: r == Errored || r == Broken, app: s.app}
+	o.steady = !o.bad && a.steady(s.app, took/t.work/max(a.usual[t.product], 1))
+	e := append(a.evidence[arm][t.product], o)
+	if len(e) > 2*keep {
+		e = slices.Clone(e[len(e)-keep:])
+	}
+	a.evidence[arm][t.product] = e
+}
+
+// steady is gate one's check of a machine: halves of its recent outcomes agree, or it is past its told warm-up.
+func (a *Agent) steady(i int, rel float64) bool {
+	a.recent[i] = append(a.recent[i], rel)
+	if len(a.recent[i]) > 16 {
+		a.recent[i] = a.recent[i][1:]
+	}
+	if a.coldness(i) >= 1 {
+		return true
+	}
+	h := len(a.recent[i]) / 2
+	if h < 6 {
+		return false
+	}
+	x, y := stat.Mean(a.recent[i][:h], nil), stat.Mean(a.recent[i][h:], nil)
+	return math.Abs(x-y) <= zoneLatency*max(x, y)
+}
+
+// judge runs the gates and says what the agent wants.
+func (a *Agent) judge() {
+	a.judgeAt = a.now + judgePause
+	a.look(a.judgeAt, nil)
+	if !a.known || a.phase == GoingBack || a.phase == Withdrawn {
+		a.want = None
+		return
+	}
+	if a.want == Back {
+		return
+	}
+	a.want = None
+	neu := 0
+	a.lastStart = 0
+	for i := range a.id {
+		if a.state[i] == Running && a.builds[i] == a.newest {
+			neu++
+			a.lastStart = max(a.lastStart, a.start[i])
+		}
+	}
+	if a.begun == 0 && a.stage >= 0 && a.stage < len(a.stages) && neu > 0 &&
+		neu >= int(a.stages[a.stage]*float64(a.places)) {
+		a.begun = a.now
+	}
+	if a.begun == 0 {
+		return
+	}
+	earned, worse := a.gates()
+	if worse {
+		a.want = Back
+		return
+	}
+	if a.phase == OnTrial && a.control != Clocked && a.now >= a.lastStart+floorOn && (earned || a.now >= a.begun+wait) {
+		a.want = On
+	}
+}
+
+// gates compares the builds product by product and over all products.
+func (a *Agent) gates() (earned, worse bool) {
+	var neu, old []outcome
+	for p := range a.products {
+		n, o := a.evidence[1][p], a.evidence[0][p]
+		e, w := compare(n, o)
+		earned, worse = earned || e, worse || w
+		neu, old = append(neu, n...), append(old, o...)
+	}
+	return earned, worse || failing(neu, old)
+}
+
+// compare is gates two and three for one product.
+func compare(neu, old []outcome) (earned, worse bool) {
+	if failing(neu, old) {
+		return false, true
+	}
+	if len(neu) < leastSample || len(old) < leastSample {
+		return false, false
+	}
+	ns, paired := slice(neu, nil)
+	os, paired := slice(old, neu)
+	var ds, sn, so []float64
+	for k := range ns {
+		sn, so = append(sn, kept(ns[k])), append(so, kept(os[k]))
+		ds = append(ds, sn[k]-so[k])
+	}
+	if cv(sn) <= agreeCV && cv(so) <= agreeCV {
+		noise := math.Sqrt(float64(fails(neu)+1) / float64(len(neu)+2) / float64(len(neu)))
+		lo, hi := interval(ds, onLevel, noise)
+		earned = lo > -zoneSingle && hi < zoneSingle || lo > zoneSingle
+	}
+	lat := func(s []outcome) []float64 {
+		var out []float64
+		for _, o := range s {
+			if o.steady {
+				out = append(out, o.lat)
+			}
+		}
+		slices.Sort(out)
+		return out
+	}
+	var nl, ol [][]float64
+	for k := range ns {
+		nl, ol = append(nl, lat(ns[k])), append(ol, lat(os[k]))
+		if len(nl[k]) < leastSample/cut || len(ol[k]) < leastSample/cut {
+			return earned, false
+		}
+	}
+	if !paired || !agree(nl) || !agree(ol) {
+		return earned, false
+	}
+	all := lat(old)
+	room := 2 * spread(old, func(o outcome) (float64, bool) { return o.lat, o.steady }) / math.Sqrt(machines(neu))
+	for _, q := range []float64{0.5, 0.75, 0.9} {
+		var d []float64
+		for k := range nl {
+			d = append(d, stat.Quantile(q, stat.Empirical, nl[k], nil)-stat.Quantile(q, stat.Empirical, ol[k], nil))
+		}
+		base := stat.Quantile(q, stat.Empirical, all, nil)
+		lo, hi := interval(d, onLevel, 0)
+		earned = earned || lo > -zoneLatency*base && hi < zoneLatency*base || hi < -zoneLatency*base
+		if lo, _ = interval(d, backLevel, 0); lo > zoneLatency*base+room {
+			return false, true
+		}
+	}
+	return earned, false
+}
+
+// failing is the interval on a failure share: a posterior, for it also speaks below the least sample and at no failures.
+func failing(neu, old []outcome) bool {
+	f := fails(neu)
+	if f < 3 {
+		return false
+	}
+	base := (float64(fails(old)) + 0.1) / (float64(len(old)) + 1)
+	bad := func(o outcome) (float64, bool) {
+		if o.bad {
+			return 1, true
+		}
+		return 0, true
+	}
+	edge := base + zoneSingle + 2*spread(old, bad)/math.Sqrt(machines(neu))
+	if edge >= 1 {
+		return false
+	}
+	return 1-distuv.Beta{Alpha: float64(f) + 0.5, Beta: float64(len(neu)-f) + 1}.CDF(edge) > sureBack
+}
+
+func fails(s []outcome) (n int) {
+	for _, o := range s {
+		if o.bad {
+			n++
+		}
+	}
+	return n
+}
+
+func kept(s []outcome) float64 {
+	if len(s) == 0 {
+		return 1
+	}
+	return 1 - float64(fails(s))/float64(len(s))
+}
+
+func cv(x []float64) float64 {
+	m, sd := stat.MeanStdDev(x, nil)
+	return sd / max(m, 1e-9)
+}
+
+func interval(d []float64, level, least float64) (lo, hi float64) {
+	m, sd := stat.MeanStdDev(d, nil)
+	h := level * max(sd/math.Sqrt(float64(len(d))), least)
+	return m - h, m + h
+}
+
+// slice cuts by count, or by the times at which by is cut, so that what befalls both arms falls out of the difference.
+func slice(s, by []outcome) (out [][]outcome, paired bool) {
+	if by == nil {
+		for k := 0; k < cut; k++ {
+			out = append(out, s[k*len(s)/cut:(k+1)*len(s)/cut])
+		}
+		return out, true
+	}
+	from := 0
+	for from < len(s) && s[from].at < by[0].at {
+		from++
+	}
+	for k := 0; k < cut; k++ {
+		end := by[(k+1)*len(by)/cut-1].at
+		to := from
+		for to < len(s) && s[to].at <= end {
+			to++
+		}
+		out = append(out, s[from:to])
+		if to-from < leastSample/cut {
+			out, _ = slice(s, nil)
+			return out, false
+		}
+		from = to
+	}
+	return out, true
+}
+
+// agree is gate two for latency: the distance between slices against that between halves of one.
+func agree(s [][]float64) bool {
+	var between, within float64
+	n := 0.0
+	for i := range s {
+		var h [2][]float64
+		for k, v := range s[i] {
+			h[k%2] = append(h[k%2], v)
+		}
+		within += distance(h[0], h[1]) / float64(len(s))
+		for j := range i {
+			between += distance(s[i], s[j])
+			n++
+		}
+	}
+	return between/n <= farMore*within
+}
+
+// distance is Wasserstein's, by quantiles.
+func distance(x, y []float64) (d float64) {
+	for q := 0.05; q < 1; q += 0.1 {
+		d += math.Abs(stat.Quantile(q, stat.Empirical, x, nil)-stat.Quantile(q, stat.Empirical, y, nil)) / 10
+	}
+	return d
+}
+
+// spread is how far machines of one build differ among themselves: a negative control. A difference between
+// builds that machines of one build show too is no word on the build.
+func spread(s []outcome, figure func(outcome) (float64, bool)) float64 {
+	var sum, n []float64
+	for _, o := range s {
+		for len(n) <= o.app {
+			sum, n = append(sum, 0), append(n, 0)
+		}
+		if v, ok := figure(o); ok {
+			sum[o.app] += v
+			n[o.app]++
+		}
+	}
+	var means []float64
+	for i := range n {
+		if n[i] >= 5 {
+			means = append(means, sum[i]/n[i])
+		}
+	}
+	if len(means) < 3 {
+		return 0
+	}
+	return stat.StdDev(means, nil)
+}
+
+func machines(s []outcome) float64 {
+	seen := map[int]bool{}
+	for _, o := range s {
+		seen[o.app] = true
+	}
+	return max(float64(len(seen)), 1)
+}
+
+func (a *Agent) voteDue() bool {
+	if a.pending || a.now < a.voteAt || a.want == None {
+		return false
+	}
+	same := a.stands == a.want && (a.want == Back || a.standsStage == a.stage)
+	return !same || a.now >= a.renew
+}
+
+func (a *Agent) vote() {
+	a.pending, a.asking, a.askingStage = true, a.want, a.stage
+	a.port.Vote(a.newest, a.want, a.stage)
+}
+
+// Counted are the platform's own figures; the vote's evidence is the agent's own outcomes, so they decide nothing.
+func (a *Agent) Counted(now float64, build, product, many, bad int, took float64) { a.now = now }
+
+// ReportedWrong corrects the agent's own outcome.
+func (a *Agent) ReportedWrong(now float64, app string, product int, age float64) {
+	a.now = now
+	i, ok := a.index[app]
+	if !ok {
+		return
+	}
+	a.note(i, false)
+	for arm := range a.evidence {
+		e := a.evidence[arm][product]
+		for k := len(e) - 1; k >= 0; k-- {
+			if e[k].app == i && !e[k].bad && math.Abs(e[k].at-e[k].lat-(now-age)) < 1 {
+				e[k].bad = true
+				return
+			}
+		}
+	}
+}
