--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,9 +37,11 @@
 	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
 	copyAfter    = 0.45 // of the SLA time: a second copy may go
 	copyShare    = 0.05 // second copies for each txn
-	declineAt    = 0.8  // expected wait over SLA time at which the dearest are declined
-	retryPause   = 25   // between looks for a place
-	endGuard     = 12   // the final answer leaves so long before the expiry
+	limitUp      = 0.2  // open submissions more for each answer in time
+	limitDown    = 1.0  // and fewer for each late one
+	limitFirst   = 40
+	retryPause   = 25 // between looks for a place
+	endGuard     = 12 // the final answer leaves so long before the expiry
 	judgePause   = 200
 	renewAt      = 0.7 // of a vote's life, and up to 0.2 later, so that renewals scatter
 	capPart      = 0.9 // of the cap: the trial share that is aimed at
@@ -171,20 +173,21 @@
 
 	fleet
 	trial
-	txns           map[string]*txn
-	todo           []*txn
-	alarms         alarms
-	armed          float64
-	token          uint64
-	usual          []float64 // mean latency by product
-	pace, paceAt   float64
-	paceAge        float64
-	spare          float64
-	opened         int
-	served, meanMs float64
-	servedAt       float64
-	worth          float64 // mean revenue
-	workMean       float64
+	txns         map[string]*txn
+	todo         []*txn
+	alarms       alarms
+	armed        float64
+	token        uint64
+	usual        []float64 // mean latency by product
+	pace, paceAt float64
+	paceAge      float64
+	spare        float64
+	opened       int
+	meanMs       float64
+	worth        float64 // mean revenue
+	limit        float64
+	longest      []float64 // by product: the longest time of a try
+	workMean     float64
 }
 
 // New makes an agent; seed starts its generator.
@@ -200,7 +203,7 @@
 
 func (a *Agent) Serve(products []Product, maxSubs int, copies, revoke bool) {
 	a.products, a.maxSubs, a.copies, a.revoke = products, maxSubs, copies, revoke
-	a.usual = make([]float64, len(products))
+	a.usual, a.longest, a.limit = make([]float64, len(products)), make([]float64, len(products)), limitFirst
 	for i := range a.evidence {
 		a.evidence[i] = make([][]outcome, len(products))
 	}
@@ -501,6 +504,12 @@
 		t.work = hint / a.workMean
 		t.sla += p.Stretch * hint
 	}
+	// A repeat's SLA time began with the client's first try. What is left of the expiry tells when, once it is
+	// less than a first try gets.
+	a.longest[product] = max(a.longest[product], left)
+	if again && left < a.longest[product]-1 {
+		t.sla -= p.Expiry - left
+	}
 	t.sla = min(t.sla, t.expiry)
 	a.taken++
 	a.sightings[key]++
@@ -517,22 +526,29 @@
 	a.settle()
 }
 
-// hopeless tells that an answer within the SLA time can no longer be had: by Little's law the own open
-// submissions over the own rate of answers is the wait to expect. The dear are declined last.
+// hopeless tells that an answer within the SLA time can no longer be had.
 func (a *Agent) hopeless(t *txn) bool {
-	if a.products[t.product].Late == 0 && a.now >= t.sla {
-		return true
-	}
-	rate := a.rate()
-	if len(t.subs) > 0 || a.opened < 8 || rate <= 0 {
-		return false
+	return a.products[t.product].Late == 0 && a.now+0.5*a.usual[t.product] >= t.sla
+}
+
+// full tells that the own open submissions have reached what answers have lately been in time for. The limit
+// keeps queues short where late work is not called off; the dear may use the last tenth of it.
+func (a *Agent) full(t *txn) bool {
+	part := 1.0
+	if a.products[t.product].Revenue*t.work < a.worth {
+		part = 0.9
 	}
-	dear := min(max(a.products[t.product].Revenue*t.work/a.worth, 0.6), 1.2)
-	return float64(a.opened)/rate > declineAt*dear*(t.sla-a.now)
+	return float64(a.opened) >= a.limit*part
 }
 
-// rate is the own answers per millisecond over the last second or so.
-func (a *Agent) rate() float64 { return a.served * math.Exp(-(a.now-a.servedAt)/1000) / 1000 }
+// press moves the limit: up while answers are in time and it binds, down for late ones.
+func (a *Agent) press(good bool) {
+	if good && float64(a.opened) > 0.6*a.limit {
+		a.limit += limitUp
+	} else if !good {
+		a.limit = max(a.limit-limitDown, float64(len(a.id))/float64(a.agents), 2)
+	}
+}
 
 func (a *Agent) route() {
 	t := a.todo[0]
@@ -541,7 +557,7 @@
 		a.end(t)
 		return
 	}
-	if i := a.pick(t); i >= 0 {
+	if i := a.tryPick(t); i >= 0 {
 		a.send(t, i)
 		p := &a.products[t.product]
 		a.look(a.now+copyAfter*p.SLA, t)
@@ -557,6 +573,13 @@
 	a.end(t)
 }
 
+func (a *Agent) tryPick(t *txn) int {
+	if a.full(t) {
+		return -1
+	}
+	return a.pick(t)
+}
+
 // second holds an overdue submission against its appliance and, within a small budget, sends one more copy.
 func (a *Agent) second() {
 	t := a.todo[0]
@@ -566,6 +589,7 @@
 		if s := &t.subs[k]; s.out && !s.late && a.now >= t.sla {
 			s.late = true
 			a.note(s.app, false)
+			a.press(false)
 		}
 	}
 	if p.Effect == OnceOnly || t.took || t.out != 1 || a.spare < 1 || a.now >= t.sla ||
@@ -744,9 +768,11 @@
 	p := &a.products[t.product]
 	if r != Revoked && r != Moot && !s.late {
 		a.note(i, r == Settled && now <= t.sla)
+		if r != Unconnected && r != Errored {
+			a.press(r == Settled && now <= t.sla)
+		}
 	}
 	if r == Settled {
-		a.served, a.servedAt = a.served*math.Exp(-(now-a.servedAt)/1000)+1, now
 		a.learn(i, t, took)
 		if t.key != "" && a.keysStay {
 			if _, on := a.capOf(s.build); on || s.build == a.newest && a.phase == Released {
