--- a/policy/policy.go
+++ b/policy/policy.go
@@ -5,10 +5,10 @@
 // ordered rules below until none fires; they act through Port (port.go). Time and seed come only from outside.
 
 import (
+	"cmp"
 	"container/heap"
 	"hash/fnv"
 	"math"
-	"math/rand/v2"
 	"slices"
 
 	"gonum.org/v1/gonum/stat"
@@ -17,18 +17,22 @@
 
 // The design's figures, and those it leaves open.
 const (
-	zoneLatency = 0.10 // per latency percentile
-	zoneSingle  = 0.05 // for single figures
-	agreeCV     = 0.15 // gate two's bound on slices
-	farMore     = 2.0  // slices differ so many times more than halves of one: they do not agree
-	floorOn     = 3000 // no 'on' sooner after the stage's listed start times
-	wait        = 4000 // short of outcomes, 'on' comes after this barring a regression
-	cut         = 5    // slices
-	leastSample = 20   // outcomes by build and product
-	onLevel     = 2.13 // Student's t, four degrees: 90%
-	backLevel   = 4.60 // the same at 99%: the agent looks often, and one vote may undo a good build
-	sureBack    = 0.99 // posterior mass beyond the zone that a failure share needs
-	keep        = 400  // outcomes kept by build and product
+	zoneLatency  = 0.10 // per latency percentile
+	zoneSingle   = 0.05 // for single figures
+	agreeCV      = 0.15 // gate two's bound on slices
+	farMore      = 2.0  // slices differ so many times more than halves of one: they do not agree
+	floorOn      = 3000 // no 'on' sooner after the stage's listed start times
+	wait         = 4000 // short of outcomes, 'on' comes after this barring a regression
+	cut          = 5    // slices
+	leastSample  = 20   // outcomes by build and product
+	onLevel      = 2.13 // Student's t, four degrees: 90%
+	backLevel    = 4.60 // the same at 99%: the agent looks often, and one vote may undo a good build
+	sureBack     = 0.99 // posterior mass beyond the zone that a failure share needs
+	suspectAt    = 1.3  // times the other machines latency
+	suspectLeast = 6    // outcomes
+	leastEach    = 5    // outcomes by machine, and
+	fewestEach   = 3    // machines, that tell how machines of one build differ
+	keep         = 400  // outcomes kept by build and product
 
 	coldMargin   = 0.7  // part of the cold budget used: work varies, and other agents are not seen
 	coldDepth    = 0.25 // part of the budget's window that may go at once, against a burst on a fresh machine
@@ -49,188 +53,6 @@
 	popularShare = 0.2 // of the cap: a key with more of the txns is not taken into a trial
 )
 
-// mwc is a lag-1 multiply-with-carry generator.
-type mwc struct{ x, c uint64 }
-
-func (g *mwc) next() uint64 {
-	t := 4294957665*g.x + g.c
-	g.x, g.c = t&0xffffffff, t>>32
-	return g.x
-}
-
-func (g *mwc) Uint64() uint64 { return g.next()<<32 | g.next() }
-
-// submission is one try of a txn at an appliance.
-type submission struct {
-	app, build int
-	at         float64
-	out        bool // no outcome yet
-	unrun      bool // proven not to have run
-	late       bool // already held against the appliance
-}
-
-type txn struct {
-	id, key   string
-	product   int
-	came, sla float64
-	expiry    float64
-	work      float64 // told cost, 1 where none is told
-	subs      []submission
-	out       int
-	ended     bool
-	took      bool // a stream has begun: no expiry holds any more
-}
-
-type alarm struct {
-	at float64
-	t  *txn
-}
-
-type alarms []alarm
-
-func (h alarms) Len() int           { return len(h) }
-func (h alarms) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h alarms) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *alarms) Push(x any)        { *h = append(*h, x.(alarm)) }
-func (h *alarms) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
-// outcome is one submission's end as evidence on a build.
-type outcome struct {
-	at, lat float64
-	bad     bool
-	app     int
-	steady  bool // its latency counts
-}
-
-// fleet holds what is known of each appliance, in parallel arrays under a small index.
-type fleet struct {
-	index                       map[string]int
-	id                          []string
-	builds, zones, kinds, cells []int
-	state                       []State
-	rating, start               []float64
-	open                        []int
-	good, poor, seenAt          []float64 // fading record of answers within the SLA time and others
-	rel                         []float64 // latency against the product's usual
-	level, levelAt              []float64 // cold budget
-	recent                      [][]float64
-	asked, subscribed, failed   bool
-	grace, within, askAt        float64
-}
-
-// trial is what is known of the newest build.
-type trial struct {
-	newest, stage int
-	phase         Phase
-	known         bool
-	places        int
-	begun         float64 // when this stage's window began; 0: not yet
-	lastStart     float64
-	evidence      [2][][]outcome // earlier and newest build, by product
-	judgeAt       float64
-	want          Verdict
-	stands        Verdict
-	standsStage   int
-	renew, voteAt float64
-	pending       bool
-	asking        Verdict
-	askingStage   int
-}
-
-// Agent is one instance of the decisions.
-type Agent struct {
-	port           Port
-	now            float64
-	rnd            *rand.Rand
-	salt           uint64
-	agents         int
-	products       []Product
-	maxSubs        int
-	copies, revoke bool
-	maxWait        float64
-	zone           int
-	zonePriced     bool
-
-	coldFrom, warmTime, multiple, fall float64
-	free                               float64
-	caps                               []float64
-	guarded                            int
-	perProduct, keysStay               bool
-	allow                              map[int][]float64 // by build: what may still go, by product
-	cap                                float64
-	ties                               map[string]int
-	sightings                          map[string]float64
-	taken                              float64
-
-	stages  []float64
-	control Control
-	life    float64
-
-	fleet
-	trial
-	txns         map[string]*txn
-	todo         []*txn
-	alarms       alarms
-	armed        float64
-	token        uint64
-	usual        []float64 // mean latency by product
-	pace, paceAt float64
-	paceAge      float64
-	spare        float64
-	opened       int
-	meanMs       float64
-	worth        float64 // mean revenue
-	limit        float64
-	longest      []float64 // by product: the longest time of a try
-	workMean     float64
-}
-
-// New makes an agent; seed starts its generator.
-func New(port Port, seed uint64, me, agents int) *Agent {
-	g := &mwc{x: seed&0xffffffff | 1, c: seed >> 32 % 4294957664}
-	a := &Agent{port: port, rnd: rand.New(g), agents: max(agents, 1), txns: map[string]*txn{}, armed: math.Inf(1)}
-	a.salt = g.Uint64()
-	a.allow, a.ties, a.sightings = map[int][]float64{}, map[string]int{}, map[string]float64{}
-	a.index = map[string]int{}
-	a.judgeAt = math.Inf(1)
-	return a
-}
-
-func (a *Agent) Serve(products []Product, maxSubs int, copies, revoke bool) {
-	a.products, a.maxSubs, a.copies, a.revoke = products, maxSubs, copies, revoke
-	a.usual, a.longest, a.limit = make([]float64, len(products)), make([]float64, len(products)), limitFirst
-	for i := range a.evidence {
-		a.evidence[i] = make([][]outcome, len(products))
-	}
-}
-
-func (a *Agent) Advise(maxWait float64) { a.maxWait = maxWait }
-
-func (a *Agent) Zone(zone int, priced bool) { a.zone, a.zonePriced = zone, priced }
-
-func (a *Agent) Watch(asked bool, grace, within float64) {
-	a.asked, a.grace, a.within = asked, grace, within
-}
-
-func (a *Agent) Warm(from, time, multiple, fall float64) {
-	a.coldFrom, a.warmTime, a.multiple, a.fall = from, time, multiple, fall
-}
-
-func (a *Agent) Expose(free float64, caps []float64, guarded int, perProduct, keysStay bool) {
-	a.free, a.caps, a.guarded, a.perProduct, a.keysStay = free, caps, guarded, perProduct, keysStay
-}
-
-func (a *Agent) Judge(stages []float64, control Control, life, timeout float64) {
-	a.stages, a.control, a.life = stages, control, life
-}
-
-func (a *Agent) Tenants(quotas []float64, overWorth float64) {}
-
 // rule is a condition and an effect that makes the condition false.
 type rule struct {
 	name string
@@ -274,14 +96,6 @@
 
 func (a *Agent) next() { a.todo = a.todo[1:] }
 
-func (a *Agent) look(at float64, t *txn) { heap.Push(&a.alarms, alarm{at, t}) }
-
-func (a *Agent) arm() {
-	a.token++
-	a.armed = a.alarms[0].at
-	a.port.Timer(max(a.armed-a.now, 0.001), a.token)
-}
-
 // ---- the list
 
 func (a *Agent) ask() {
@@ -302,37 +116,6 @@
 	a.settle()
 }
 
-// List takes entries as the list shows them; whole lists drop what they no longer name.
-func (a *Agent) List(now float64, entries []Listed, whole, old bool) {
-	a.now = now
-	if whole {
-		for i := range a.state {
-			a.state[i] = Gone
-		}
-	}
-	for _, e := range entries {
-		i, ok := a.index[e.ID]
-		if !ok {
-			i = len(a.id)
-			a.index[e.ID] = i
-			a.id = append(a.id, e.ID)
-			a.builds, a.zones = append(a.builds, 0), append(a.zones, 0)
-			a.kinds, a.cells = append(a.kinds, 0), append(a.cells, 0)
-			a.state, a.rating, a.start = append(a.state, Gone), append(a.rating, 1), append(a.start, -1)
-			a.open, a.good, a.poor = append(a.open, 0), append(a.good, 0), append(a.poor, 0)
-			a.seenAt, a.rel, a.recent = append(a.seenAt, 0), append(a.rel, 1), append(a.recent, nil)
-			a.level, a.levelAt = append(a.level, 0), append(a.levelAt, now)
-		}
-		if a.start[i] != e.Start || a.builds[i] != e.Build {
-			// A re-used id or a restart: nothing learned of the former process holds, and it is cold.
-			a.good[i], a.poor[i], a.rel[i], a.recent[i], a.level[i], a.levelAt[i] = 0, 0, 1, nil, 0, now
-		}
-		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
-		a.state[i], a.rating[i], a.start[i] = e.State, max(e.Rating, 0.01), e.Start
-	}
-	a.settle()
-}
-
 // coldness is the part of its capacity that an appliance has at the least.
 func (a *Agent) coldness(i int) float64 {
 	if a.start[i] <= 0 || a.warmTime <= 0 || a.now-a.start[i] >= a.warmTime {
@@ -403,25 +186,6 @@
 	return a.bucket(a.builds[i])[a.lane(t.product)] >= 1
 }
 
-func (a *Agent) lane(product int) int {
-	if a.perProduct {
-		return product
-	}
-	return 0
-}
-
-func (a *Agent) bucket(build int) []float64 {
-	b := a.allow[build]
-	if b == nil {
-		b = make([]float64, max(len(a.products), 1))
-		for k := range b {
-			b[k] = a.free
-		}
-		a.allow[build] = b
-	}
-	return b
-}
-
 // warmEnough keeps the cold budget: a part, by the least warmth, of what warm appliances are seen to serve.
 func (a *Agent) warmEnough(t *txn, i int) bool {
 	c := a.coldness(i)
@@ -719,15 +483,6 @@
 	}
 }
 
-// Began: the stream belongs to the client now; no expiry holds.
-func (a *Agent) Began(now float64, id string, sub int) {
-	a.now = now
-	if t := a.txns[id]; t != nil {
-		t.took = true
-	}
-	a.settle()
-}
-
 // Hangup: the client has gone; an id no longer held is passed over.
 func (a *Agent) Hangup(now float64, id string) {
 	a.now = now
@@ -737,19 +492,6 @@
 	a.settle()
 }
 
-func (a *Agent) Wake(now float64, token uint64) {
-	a.now = now
-	if token == a.token {
-		a.armed = math.Inf(1)
-	}
-	a.settle()
-}
-
-func (a *Agent) Probed(now float64, app string, ok bool, took, waiting, busy float64) {
-	a.now = now
-	a.settle()
-}
-
 // Outcome ends one submission.
 func (a *Agent) Outcome(now float64, id string, sub int, r Result, final bool, took, waiting, busy float64) {
 	a.now = now
@@ -886,7 +628,8 @@
 		arm = 1
 	}
 	o := outcome{at: a.now, lat: took / t.work, bad: r == Errored || r == Broken, app: s.app}
-	o.steady = !o.bad && a.steady(s.app, took/t.work/max(a.usual[t.product], 1))
+	o.rel = o.lat / max(a.usual[t.product], 1)
+	o.steady = !o.bad && a.steady(s.app, o.rel)
 	e := append(a.evidence[arm][t.product], o)
 	if len(e) > 2*keep {
 		e = slices.Clone(e[len(e)-keep:])
@@ -932,7 +675,7 @@
 		}
 	}
 	if a.begun == 0 && a.stage >= 0 && a.stage < len(a.stages) && neu > 0 &&
-		neu >= int(a.stages[a.stage]*float64(a.places)) {
+		float64(neu) >= math.Round(a.stages[a.stage]*float64(a.places)) {
 		a.begun = a.now
 	}
 	if a.begun == 0 {
@@ -943,12 +686,17 @@
 		a.want = Back
 		return
 	}
-	if a.phase == OnTrial && a.control != Clocked && a.now >= a.lastStart+floorOn && (earned || a.now >= a.begun+wait) {
+	ready := a.begun + wait
+	if a.slower() {
+		earned, ready = false, max(ready, a.lastStart+a.warmTime+wait)
+	}
+	if a.phase == OnTrial && a.control != Clocked && a.now >= max(a.lastStart, a.begun)+floorOn && (earned || a.now >= ready) {
 		a.want = On
 	}
 }
 
-// gates compares the builds product by product and over all products.
+// gates compares the builds product by product, and all products at once by latency over the product's usual one,
+// which sees a slow build sooner and hides no single product.
 func (a *Agent) gates() (earned, worse bool) {
 	var neu, old []outcome
 	for p := range a.products {
@@ -957,7 +705,31 @@
 		earned, worse = earned || e, worse || w
 		neu, old = append(neu, n...), append(old, o...)
 	}
-	return earned, worse || failing(neu, old)
+	for _, s := range [][]outcome{neu, old} {
+		slices.SortStableFunc(s, func(x, y outcome) int { return cmp.Compare(x.at, y.at) })
+		for k := range s {
+			s[k].lat = s[k].rel
+		}
+	}
+	e, w := compare(neu, old)
+	return earned || e, worse || w
+}
+
+// slower tells that the newest build's machines look slower of late than the others, warm or not. It is no
+// verdict: a cold machine looks the same. It only makes 'on' wait until the told warm-up has passed.
+func (a *Agent) slower() bool {
+	var sum, n [2]float64
+	for i, r := range a.recent {
+		if a.state[i] != Running || len(r) < suspectLeast {
+			continue
+		}
+		arm := 0
+		if a.builds[i] >= a.newest {
+			arm = 1
+		}
+		sum[arm], n[arm] = sum[arm]+stat.Mean(r, nil), n[arm]+1
+	}
+	return n[0] > 0 && n[1] > 0 && sum[1]/n[1] > suspectAt*sum[0]/n[0]
 }
 
 // compare is gates two and three for one product.
@@ -968,8 +740,8 @@
 	if len(neu) < leastSample || len(old) < leastSample {
 		return false, false
 	}
-	ns, paired := slice(neu, nil)
-	os, paired := slice(old, neu)
+	ns, paired := slice(neu, nil, cut, leastSample/cut)
+	os, paired := slice(old, neu, cut, leastSample/cut)
 	var ds, sn, so []float64
 	for k := range ns {
 		sn, so = append(sn, kept(ns[k])), append(so, kept(os[k]))
@@ -1001,7 +773,7 @@
 		return earned, false
 	}
 	all := lat(old)
-	room := 2 * spread(old, func(o outcome) (float64, bool) { return o.lat, o.steady }) / math.Sqrt(machines(neu))
+	room := 2 * spread(old, leastEach, fewestEach, func(o outcome) (float64, bool) { return o.lat, o.steady }) / math.Sqrt(machines(neu))
 	for _, q := range []float64{0.5, 0.75, 0.9} {
 		var d []float64
 		for k := range nl {
@@ -1030,68 +802,13 @@
 		}
 		return 0, true
 	}
-	edge := base + zoneSingle + 2*spread(old, bad)/math.Sqrt(machines(neu))
+	edge := base + zoneSingle + 2*spread(old, leastEach, fewestEach, bad)/math.Sqrt(machines(neu))
 	if edge >= 1 {
 		return false
 	}
 	return 1-distuv.Beta{Alpha: float64(f) + 0.5, Beta: float64(len(neu)-f) + 1}.CDF(edge) > sureBack
 }
 
-func fails(s []outcome) (n int) {
-	for _, o := range s {
-		if o.bad {
-			n++
-		}
-	}
-	return n
-}
-
-func kept(s []outcome) float64 {
-	if len(s) == 0 {
-		return 1
-	}
-	return 1 - float64(fails(s))/float64(len(s))
-}
-
-func cv(x []float64) float64 {
-	m, sd := stat.MeanStdDev(x, nil)
-	return sd / max(m, 1e-9)
-}
-
-func interval(d []float64, level, least float64) (lo, hi float64) {
-	m, sd := stat.MeanStdDev(d, nil)
-	h := level * max(sd/math.Sqrt(float64(len(d))), least)
-	return m - h, m + h
-}
-
-// slice cuts by count, or by the times at which by is cut, so that what befalls both arms falls out of the difference.
-func slice(s, by []outcome) (out [][]outcome, paired bool) {
-	if by == nil {
-		for k := 0; k < cut; k++ {
-			out = append(out, s[k*len(s)/cut:(k+1)*len(s)/cut])
-		}
-		return out, true
-	}
-	from := 0
-	for from < len(s) && s[from].at < by[0].at {
-		from++
-	}
-	for k := 0; k < cut; k++ {
-		end := by[(k+1)*len(by)/cut-1].at
-		to := from
-		for to < len(s) && s[to].at <= end {
-			to++
-		}
-		out = append(out, s[from:to])
-		if to-from < leastSample/cut {
-			out, _ = slice(s, nil)
-			return out, false
-		}
-		from = to
-	}
-	return out, true
-}
-
 // agree is gate two for latency: the distance between slices against that between halves of one.
 func agree(s [][]float64) bool {
 	var between, within float64
@@ -1110,47 +827,6 @@
 	return between/n <= farMore*within
 }
 
-// distance is Wasserstein's, by quantiles.
-func distance(x, y []float64) (d float64) {
-	for q := 0.05; q < 1; q += 0.1 {
-		d += math.Abs(stat.Quantile(q, stat.Empirical, x, nil)-stat.Quantile(q, stat.Empirical, y, nil)) / 10
-	}
-	return d
-}
-
-// spread is how far machines of one build differ among themselves: a negative control. A difference between
-// builds that machines of one build show too is no word on the build.
-func spread(s []outcome, figure func(outcome) (float64, bool)) float64 {
-	var sum, n []float64
-	for _, o := range s {
-		for len(n) <= o.app {
-			sum, n = append(sum, 0), append(n, 0)
-		}
-		if v, ok := figure(o); ok {
-			sum[o.app] += v
-			n[o.app]++
-		}
-	}
-	var means []float64
-	for i := range n {
-		if n[i] >= 5 {
-			means = append(means, sum[i]/n[i])
-		}
-	}
-	if len(means) < 3 {
-		return 0
-	}
-	return stat.StdDev(means, nil)
-}
-
-func machines(s []outcome) float64 {
-	seen := map[int]bool{}
-	for _, o := range s {
-		seen[o.app] = true
-	}
-	return max(float64(len(seen)), 1)
-}
-
 func (a *Agent) voteDue() bool {
 	if a.pending || a.now < a.voteAt || a.want == None {
 		return false
@@ -1164,9 +840,6 @@
 	a.port.Vote(a.newest, a.want, a.stage)
 }
 
-// Counted are the platform's own figures; the vote's evidence is the agent's own outcomes, so they decide nothing.
-func (a *Agent) Counted(now float64, build, product, many, bad int, took float64) { a.now = now }
-
 // ReportedWrong corrects the agent's own outcome.
 func (a *Agent) ReportedWrong(now float64, app string, product int, age float64) {
 	a.now = now
--- /dev/null
+++ b/policy/stats.go
@@ -0,0 +1,103 @@
+package policy
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+func fails(s []outcome) (n int) {
+	for _, o := range s {
+		if o.bad {
+			n++
+		}
+	}
+	return n
+}
+
+func kept(s []outcome) float64 {
+	if len(s) == 0 {
+		return 1
+	}
+	return 1 - float64(fails(s))/float64(len(s))
+}
+
+func cv(x []float64) float64 {
+	m, sd := stat.MeanStdDev(x, nil)
+	return sd / max(m, 1e-9)
+}
+
+func interval(d []float64, level, least float64) (lo, hi float64) {
+	m, sd := stat.MeanStdDev(d, nil)
+	h := level * max(sd/math.Sqrt(float64(len(d))), least)
+	return m - h, m + h
+}
+
+// slice cuts by count, or by the times at which by is cut, so that what befalls both arms falls out of the difference.
+func slice(s, by []outcome, cut, least int) (out [][]outcome, paired bool) {
+	if by == nil {
+		for k := 0; k < cut; k++ {
+			out = append(out, s[k*len(s)/cut:(k+1)*len(s)/cut])
+		}
+		return out, true
+	}
+	from := 0
+	for from < len(s) && s[from].at < by[0].at {
+		from++
+	}
+	for k := 0; k < cut; k++ {
+		end := by[(k+1)*len(by)/cut-1].at
+		to := from
+		for to < len(s) && s[to].at <= end {
+			to++
+		}
+		out = append(out, s[from:to])
+		if to-from < least {
+			out, _ = slice(s, nil, cut, least)
+			return out, false
+		}
+		from = to
+	}
+	return out, true
+}
+
+// distance is Wasserstein's, by quantiles.
+func distance(x, y []float64) (d float64) {
+	for q := 0.05; q < 1; q += 0.1 {
+		d += math.Abs(stat.Quantile(q, stat.Empirical, x, nil)-stat.Quantile(q, stat.Empirical, y, nil)) / 10
+	}
+	return d
+}
+
+// spread is how far machines of one build differ among themselves: a negative control. A difference between
+// builds that machines of one build show too is no word on the build.
+func spread(s []outcome, least float64, fewest int, figure func(outcome) (float64, bool)) float64 {
+	var sum, n []float64
+	for _, o := range s {
+		for len(n) <= o.app {
+			sum, n = append(sum, 0), append(n, 0)
+		}
+		if v, ok := figure(o); ok {
+			sum[o.app] += v
+			n[o.app]++
+		}
+	}
+	var means []float64
+	for i := range n {
+		if n[i] >= least {
+			means = append(means, sum[i]/n[i])
+		}
+	}
+	if len(means) < fewest {
+		return 0
+	}
+	return stat.StdDev(means, nil)
+}
+
+func machines(s []outcome) float64 {
+	seen := map[int]bool{}
+	for _, o := range s {
+		seen[o.app] = true
+	}
+	return max(float64(len(seen)), 1)
+}
