--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -28,6 +29,7 @@
 	onLevel      = 2.13 // Student's t, four degrees: 90%
 	backLevel    = 4.60 // the same at 99%: the agent looks often, and one vote may undo a good build
 	sureBack     = 0.99 // posterior mass beyond the zone that a failure share needs
+	alone        = 2000 // where one vote decides, those who saw little leave it so long to the others
 	suspectAt    = 1.3  // times the other machines latency
 	suspectLeast = 6    // outcomes
 	leastEach    = 5    // outcomes by machine, and
@@ -43,6 +45,7 @@
 	copyShare    = 0.05 // second copies for each txn
 	limitUp      = 0.2  // open submissions more for each answer in time
 	limitDown    = 1.0  // and fewer for each late one
+	limitLeast   = 2.0  // running appliances' share of one agent, times this: the limit's floor
 	limitFirst   = 40
 	retryPause   = 25 // between looks for a place
 	endGuard     = 12 // the final answer leaves so long before the expiry
@@ -310,7 +313,7 @@
 	if good && float64(a.opened) > 0.6*a.limit {
 		a.limit += limitUp
 	} else if !good {
-		a.limit = max(a.limit-limitDown, float64(len(a.id))/float64(a.agents), 2)
+		a.limit = max(a.limit-limitDown, limitLeast*float64(a.running)/float64(a.agents), 2)
 	}
 }
 
@@ -586,7 +589,7 @@
 			a.offered(build)
 		}
 		if stage != a.stage || phase != a.phase {
-			a.begun = 0
+			a.begun, a.want = 0, None // what was seen of one stage carries no vote on the next
 		}
 		if phase == GoingBack || phase == Withdrawn {
 			for k, b := range a.ties {
@@ -615,7 +618,7 @@
 		}
 	}
 	a.begun, a.want, a.stands, a.stage = 0, None, None, -1
-	a.judgeAt = a.now
+	a.judgeAt, a.since = a.now, a.now
 }
 
 // witness files a submission's end as evidence. Proven not run, called off: no word on the build.
@@ -662,7 +665,7 @@
 		a.want = None
 		return
 	}
-	if a.want == Back {
+	if a.want == Back { // stands until the news says that the build goes
 		return
 	}
 	a.want = None
@@ -686,11 +689,14 @@
 		a.want = Back
 		return
 	}
-	ready := a.begun + wait
+	ready := a.lastStart + wait
 	if a.slower() {
 		earned, ready = false, max(ready, a.lastStart+a.warmTime+wait)
 	}
-	if a.phase == OnTrial && a.control != Clocked && a.now >= max(a.lastStart, a.begun)+floorOn && (earned || a.now >= ready) {
+	if a.control == Single && len(a.evidence[1][0]) < leastSample {
+		ready += alone
+	}
+	if a.phase == OnTrial && a.control != Clocked && a.now >= a.lastStart+floorOn && (earned || a.now >= ready) {
 		a.want = On
 	}
 }
@@ -838,6 +844,18 @@
 func (a *Agent) vote() {
 	a.pending, a.asking, a.askingStage = true, a.want, a.stage
 	a.port.Vote(a.newest, a.want, a.stage)
+	var m, n [2]float64
+	for arm := range a.evidence {
+		for _, e := range a.evidence[arm] {
+			for _, o := range e {
+				if o.at > a.now-3000 {
+					m[arm] += o.rel
+					n[arm]++
+				}
+			}
+		}
+	}
+	a.port.Log(fmt.Sprintf("vote %d stage %d phase %d want %d stands %d/%d, begun %.0f ago, n %v rel %.2f %.2f slower %v limit %.0f open %d usual %.0f", a.newest, a.stage, a.phase, a.want, a.stands, a.standsStage, a.now-a.begun, n, m[0]/max(n[0], 1), m[1]/max(n[1], 1), a.slower(), a.limit, a.opened, a.usual))
 }
 
 // ReportedWrong corrects the agent's own outcome.
--- a/policy/state.go
+++ b/policy/state.go
@@ -73,6 +73,7 @@
 	state                       []State
 	rating, start               []float64
 	open                        []int
+	running                     int
 	good, poor, seenAt          []float64 // fading record of answers within the SLA time and others
 	rel                         []float64 // latency against the product's usual
 	level, levelAt              []float64 // cold budget
@@ -87,6 +88,7 @@
 	phase         Phase
 	known         bool
 	places        int
+	since         float64 // when it was first heard of
 	begun         float64 // when this stage's window began; 0: not yet
 	lastStart     float64
 	evidence      [2][][]outcome // earlier and newest build, by product
@@ -131,21 +133,23 @@
 
 	fleet
 	trial
-	txns         map[string]*txn
-	todo         []*txn
-	alarms       alarms
-	armed        float64
-	token        uint64
-	usual        []float64 // mean latency by product
-	pace, paceAt float64
-	paceAge      float64
-	spare        float64
-	opened       int
-	meanMs       float64
-	worth        float64 // mean revenue
-	limit        float64
-	longest      []float64 // by product: the longest time of a try
-	workMean     float64
+	txns                   map[string]*txn
+	todo                   []*txn
+	alarms                 alarms
+	armed                  float64
+	token                  uint64
+	calm                   []float64 // the same while nothing was wrong
+	heat, heatAt, hotSince float64
+	usual                  []float64 // mean latency by product
+	pace, paceAt           float64
+	paceAge                float64
+	spare                  float64
+	opened                 int
+	meanMs                 float64
+	worth                  float64 // mean revenue
+	limit                  float64
+	longest                []float64 // by product: the longest time of a try
+	workMean               float64
 }
 
 // New makes an agent; seed starts its generator.
@@ -162,6 +166,7 @@
 func (a *Agent) Serve(products []Product, maxSubs int, copies, revoke bool) {
 	a.products, a.maxSubs, a.copies, a.revoke = products, maxSubs, copies, revoke
 	a.usual, a.longest, a.limit = make([]float64, len(products)), make([]float64, len(products)), limitFirst
+	a.calm, a.hotSince = make([]float64, len(products)), math.Inf(1)
 	for i := range a.evidence {
 		a.evidence[i] = make([][]outcome, len(products))
 	}
@@ -225,6 +230,12 @@
 		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
 		a.state[i], a.rating[i], a.start[i] = e.State, max(e.Rating, 0.01), e.Start
 	}
+	a.running = 0
+	for _, s := range a.state {
+		if s == Running {
+			a.running++
+		}
+	}
 	a.settle()
 }
 
