--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,12 +43,14 @@
 	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
 	copyAfter    = 0.45 // of the SLA time: a second copy may go
 	copyShare    = 0.05 // second copies for each txn
-	limitUp      = 0.2  // open submissions more for each answer in time
+	limitUp      = 0.2  // open submissions more at an appliance for each answer in time
 	limitDown    = 1.0  // and fewer for each late one
-	limitLeast   = 2.0  // running appliances' share of one agent, times this: the limit's floor
-	limitFirst   = 40
-	retryPause   = 25 // between looks for a place
-	endGuard     = 12 // the final answer leaves so long before the expiry
+	limitBinds   = 0.6  // part of the limit from which it is taken to bind
+	limitFirst   = 4
+	limitLeast   = 2   // for all agents together
+	dearOnly     = 0.9 // part of the limit that is for any revenue
+	retryPause   = 25  // between looks for a place
+	endGuard     = 12  // the final answer leaves so long before the expiry
 	judgePause   = 200
 	renewAt      = 0.7 // of a vote's life, and up to 0.2 later, so that renewals scatter
 	capPart      = 0.9 // of the cap: the trial share that is aimed at
@@ -218,7 +220,6 @@
 	t.subs = append(t.subs, submission{app: i, build: a.builds[i], at: a.now, out: true})
 	t.out++
 	a.open[i]++
-	a.opened++
 	a.port.Submit(t.id, a.id[i], 0)
 }
 
@@ -298,22 +299,29 @@
 	return a.products[t.product].Late == 0 && a.now+0.5*a.usual[t.product] >= t.sla
 }
 
-// full tells that the own open submissions have reached what answers have lately been in time for. The limit
-// keeps queues short where late work is not called off; the dear may use the last tenth of it.
-func (a *Agent) full(t *txn) bool {
+// room tells that the own open submissions, at the appliance and in all, are fewer than those lately answered in
+// time. The limits keep queues short where late work is not called off; the dear may use the last of them.
+func (a *Agent) room(t *txn, i int) bool {
 	part := 1.0
 	if a.products[t.product].Revenue*t.work < a.worth {
-		part = 0.9
+		part = dearOnly
 	}
-	return float64(a.opened) >= a.limit*part
+	open, limit := 0, 0.0
+	for k := range a.id {
+		open += a.open[k]
+		if a.state[k] == Running {
+			limit += a.limit[k]
+		}
+	}
+	return float64(a.open[i]) < max(a.limit[i]*part, 1) && float64(open) < max(limit*part, 2)
 }
 
 // press moves the limit: up while answers are in time and it binds, down for late ones.
-func (a *Agent) press(good bool) {
-	if good && float64(a.opened) > 0.6*a.limit {
-		a.limit += limitUp
+func (a *Agent) press(i int, good bool) {
+	if good && float64(a.open[i])+1 > limitBinds*a.limit[i] {
+		a.limit[i] += limitUp
 	} else if !good {
-		a.limit = max(a.limit-limitDown, limitLeast*float64(a.running)/float64(a.agents), 2)
+		a.limit[i] = max(a.limit[i]-limitDown, limitLeast/float64(a.agents))
 	}
 }
 
@@ -324,7 +332,7 @@
 		a.end(t)
 		return
 	}
-	if i := a.tryPick(t); i >= 0 {
+	if i := a.pick(t); i >= 0 {
 		a.send(t, i)
 		p := &a.products[t.product]
 		a.look(a.now+copyAfter*p.SLA, t)
@@ -340,13 +348,6 @@
 	a.end(t)
 }
 
-func (a *Agent) tryPick(t *txn) int {
-	if a.full(t) {
-		return -1
-	}
-	return a.pick(t)
-}
-
 // second holds an overdue submission against its appliance and, within a small budget, sends one more copy.
 func (a *Agent) second() {
 	t := a.todo[0]
@@ -356,7 +357,7 @@
 		if s := &t.subs[k]; s.out && !s.late && a.now >= t.sla {
 			s.late = true
 			a.note(s.app, false)
-			a.press(false)
+			a.press(s.app, false)
 		}
 	}
 	if p.Effect == OnceOnly || t.took || t.out != 1 || a.spare < 1 || a.now >= t.sla ||
@@ -427,7 +428,7 @@
 func (a *Agent) pickIn(t *txn, trial bool) int {
 	var open, fresh []int
 	for i := range a.id {
-		if _, on := a.capOf(a.builds[i]); on != trial || !a.mayGo(t, i) {
+		if _, on := a.capOf(a.builds[i]); on != trial || !a.room(t, i) || !a.mayGo(t, i) {
 			continue
 		}
 		open = append(open, i)
@@ -509,12 +510,11 @@
 	t.out--
 	i := s.app
 	a.open[i]--
-	a.opened--
 	p := &a.products[t.product]
 	if r != Revoked && r != Moot && !s.late {
 		a.note(i, r == Settled && now <= t.sla)
 		if r != Unconnected && r != Errored {
-			a.press(r == Settled && now <= t.sla)
+			a.press(i, r == Settled && now <= t.sla)
 		}
 	}
 	if r == Settled {
@@ -618,7 +618,7 @@
 		}
 	}
 	a.begun, a.want, a.stands, a.stage = 0, None, None, -1
-	a.judgeAt, a.since = a.now, a.now
+	a.judgeAt = a.now
 }
 
 // witness files a submission's end as evidence. Proven not run, called off: no word on the build.
@@ -855,7 +855,7 @@
 			}
 		}
 	}
-	a.port.Log(fmt.Sprintf("vote %d stage %d phase %d want %d stands %d/%d, begun %.0f ago, n %v rel %.2f %.2f slower %v limit %.0f open %d usual %.0f", a.newest, a.stage, a.phase, a.want, a.stands, a.standsStage, a.now-a.begun, n, m[0]/max(n[0], 1), m[1]/max(n[1], 1), a.slower(), a.limit, a.opened, a.usual))
+	a.port.Log(fmt.Sprintf("vote %d stage %d phase %d want %d stands %d/%d, begun %.0f ago, n %v rel %.2f %.2f slower %v limit %.1f open %d usual %.0f", a.newest, a.stage, a.phase, a.want, a.stands, a.standsStage, a.now-a.begun, n, m[0]/max(n[0], 1), m[1]/max(n[1], 1), a.slower(), a.limit, a.open, a.usual))
 }
 
 // ReportedWrong corrects the agent's own outcome.
--- a/policy/state.go
+++ b/policy/state.go
@@ -73,7 +73,7 @@
 	state                       []State
 	rating, start               []float64
 	open                        []int
-	running                     int
+	limit                       []float64 // own open submissions that it may have
 	good, poor, seenAt          []float64 // fading record of answers within the SLA time and others
 	rel                         []float64 // latency against the product's usual
 	level, levelAt              []float64 // cold budget
@@ -88,7 +88,6 @@
 	phase         Phase
 	known         bool
 	places        int
-	since         float64 // when it was first heard of
 	begun         float64 // when this stage's window began; 0: not yet
 	lastStart     float64
 	evidence      [2][][]outcome // earlier and newest build, by product
@@ -133,23 +132,19 @@
 
 	fleet
 	trial
-	txns                   map[string]*txn
-	todo                   []*txn
-	alarms                 alarms
-	armed                  float64
-	token                  uint64
-	calm                   []float64 // the same while nothing was wrong
-	heat, heatAt, hotSince float64
-	usual                  []float64 // mean latency by product
-	pace, paceAt           float64
-	paceAge                float64
-	spare                  float64
-	opened                 int
-	meanMs                 float64
-	worth                  float64 // mean revenue
-	limit                  float64
-	longest                []float64 // by product: the longest time of a try
-	workMean               float64
+	txns         map[string]*txn
+	todo         []*txn
+	alarms       alarms
+	armed        float64
+	token        uint64
+	usual        []float64 // mean latency by product
+	pace, paceAt float64
+	paceAge      float64
+	spare        float64
+	meanMs       float64
+	worth        float64   // mean revenue
+	longest      []float64 // by product: the longest time of a try
+	workMean     float64
 }
 
 // New makes an agent; seed starts its generator.
@@ -165,8 +160,7 @@
 
 func (a *Agent) Serve(products []Product, maxSubs int, copies, revoke bool) {
 	a.products, a.maxSubs, a.copies, a.revoke = products, maxSubs, copies, revoke
-	a.usual, a.longest, a.limit = make([]float64, len(products)), make([]float64, len(products)), limitFirst
-	a.calm, a.hotSince = make([]float64, len(products)), math.Inf(1)
+	a.usual, a.longest = make([]float64, len(products)), make([]float64, len(products))
 	for i := range a.evidence {
 		a.evidence[i] = make([][]outcome, len(products))
 	}
@@ -221,7 +215,7 @@
 			a.state, a.rating, a.start = append(a.state, Gone), append(a.rating, 1), append(a.start, -1)
 			a.open, a.good, a.poor = append(a.open, 0), append(a.good, 0), append(a.poor, 0)
 			a.seenAt, a.rel, a.recent = append(a.seenAt, 0), append(a.rel, 1), append(a.recent, nil)
-			a.level, a.levelAt = append(a.level, 0), append(a.levelAt, now)
+			a.level, a.levelAt, a.limit = append(a.level, 0), append(a.levelAt, now), append(a.limit, limitFirst)
 		}
 		if a.start[i] != e.Start || a.builds[i] != e.Build {
 			// A re-used id or a restart: nothing learned of the former process holds, and it is cold.
@@ -230,12 +224,6 @@
 		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
 		a.state[i], a.rating[i], a.start[i] = e.State, max(e.Rating, 0.01), e.Start
 	}
-	a.running = 0
-	for _, s := range a.state {
-		if s == Running {
-			a.running++
-		}
-	}
 	a.settle()
 }
 
