--- a/policy/policy.go
+++ b/policy/policy.go
@@ -391,6 +391,11 @@
 	if limit >= capPart {
 		limit = 1
 	}
+	// Where the earlier machines stay, the new ones still get what their places would: more is seen of the
+	// build, and sooner, at no more load a machine.
+	if a.placed > 0 {
+		all = min(all, a.placed)
+	}
 	return min(neu/all, limit)
 }
 
@@ -611,10 +616,11 @@
 	for p := range a.evidence[1] {
 		a.evidence[1][p] = nil
 	}
-	a.places = 0
+	a.places, a.placed = 0, 0
 	for i := range a.id {
 		if a.state[i] == Running && a.builds[i] < build {
 			a.places++
+			a.placed += a.rating[i]
 		}
 	}
 	a.begun, a.want, a.stands, a.stage = 0, None, None, -1
@@ -689,13 +695,20 @@
 		a.want = Back
 		return
 	}
+	// An inconclusive comparison blocks nothing: with the least sample seen the floor alone is waited for.
 	ready := a.lastStart + wait
-	if a.slower() {
-		earned, ready = false, max(ready, a.lastStart+a.warmTime+wait)
+	seen := 0
+	for _, e := range a.evidence[1] {
+		seen += len(e)
 	}
-	if a.control == Single && len(a.evidence[1][0]) < leastSample {
+	if seen >= leastSample {
+		ready = a.lastStart + floorOn
+	} else if a.control == Single {
 		ready += alone
 	}
+	if a.slower() {
+		earned, ready = false, max(ready, a.lastStart+a.warmTime+wait)
+	}
 	if a.phase == OnTrial && a.control != Clocked && a.now >= a.lastStart+floorOn && (earned || a.now >= ready) {
 		a.want = On
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -87,7 +87,8 @@
 	newest, stage int
 	phase         Phase
 	known         bool
-	places        int
+	places        int     // running appliances when the newest build was first heard of
+	placed        float64 // and their rating
 	begun         float64 // when this stage's window began; 0: not yet
 	lastStart     float64
 	evidence      [2][][]outcome // earlier and newest build, by product
