--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,6 +49,7 @@
 	limitFirst   = 4
 	limitLeast   = 2   // for all agents together
 	dearOnly     = 0.9 // part of the limit that is for any revenue
+	recallTries  = 4   // held txns in a row that find no place before the rest wait on
 	retryPause   = 25  // between looks for a place
 	endGuard     = 12  // the final answer leaves so long before the expiry
 	judgePause   = 200
@@ -76,6 +77,7 @@
 			return len(a.todo) > 0 && !a.todo[0].took && a.now >= a.todo[0].expiry-endGuard
 		}, func(a *Agent) { a.end(a.todo[0]) }},
 		{"route", func(a *Agent) bool { return len(a.todo) > 0 && a.todo[0].out == 0 }, (*Agent).route},
+		{"recall", func(a *Agent) bool { return a.now >= a.recallAt && len(a.held) > 0 }, (*Agent).recall},
 		{"copy", func(a *Agent) bool { return len(a.todo) > 0 }, (*Agent).second},
 		{"ask", func(a *Agent) bool { return a.asked && !a.subscribed && a.now >= a.askAt }, (*Agent).ask},
 		{"judge", func(a *Agent) bool { return a.now >= a.judgeAt }, (*Agent).judge},
@@ -296,7 +298,7 @@
 
 // hopeless tells that an answer within the SLA time can no longer be had.
 func (a *Agent) hopeless(t *txn) bool {
-	return a.products[t.product].Late == 0 && a.now+0.5*a.usual[t.product] >= t.sla
+	return a.now+a.usual[t.product] >= t.sla && (a.products[t.product].Late == 0 || len(t.subs) == 0)
 }
 
 // room tells that the own open submissions, at the appliance and in all, are fewer than those lately answered in
@@ -332,20 +334,47 @@
 		a.end(t)
 		return
 	}
+	p := &a.products[t.product]
 	if i := a.pick(t); i >= 0 {
+		t.held = false
 		a.send(t, i)
-		p := &a.products[t.product]
 		a.look(a.now+copyAfter*p.SLA, t)
 		a.look(t.sla, t)
 		return
 	}
-	// No place is open just now: an exposure or cold budget refills, a list change may come. Not past the point
-	// where an answer in time can be had.
-	if a.now+retryPause+a.usual[t.product] < t.sla {
-		a.look(a.now+retryPause, t)
-		return
+	if !t.held {
+		t.held = true
+		a.held = append(a.held, t)
+		a.look(max(t.sla-a.usual[t.product], a.now+retryPause), t)
+	}
+}
+
+// recall lets the longest-held txns try again once an outcome, the list or the passing of a little time may have
+// made room: oldest first, or newer ones would starve them past their SLA time.
+func (a *Agent) recall() {
+	a.recallAt = math.Inf(1)
+	held := a.held
+	a.held = a.held[len(a.held):]
+	misses := 0
+	for k, t := range held {
+		if t.ended || !t.held {
+			continue
+		}
+		if misses >= recallTries {
+			a.held = append(a.held, held[k:]...)
+			break
+		}
+		t.held = false
+		a.todo = append([]*txn{t}, a.todo...)
+		a.route()
+		if t.held {
+			misses++
+		}
+	}
+	if len(a.held) > 0 {
+		a.recallAt = a.now + retryPause
+		a.look(a.recallAt, nil)
 	}
-	a.end(t)
 }
 
 // second holds an overdue submission against its appliance and, within a small budget, sends one more copy.
@@ -513,6 +542,7 @@
 	s.out = false
 	s.unrun = r == Rejected || r == Unconnected || r == Moot
 	t.out--
+	a.recallAt = a.now
 	i := s.app
 	a.open[i]--
 	p := &a.products[t.product]
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,6 +35,7 @@
 	subs      []submission
 	out       int
 	ended     bool
+	held      bool
 	took      bool // a stream has begun: no expiry holds any more
 }
 
@@ -135,6 +136,8 @@
 	trial
 	txns         map[string]*txn
 	todo         []*txn
+	held         []*txn // waiting for a place, oldest first
+	recallAt     float64
 	alarms       alarms
 	armed        float64
 	token        uint64
@@ -151,7 +154,7 @@
 // New makes an agent; seed starts its generator.
 func New(port Port, seed uint64, me, agents int) *Agent {
 	g := &mwc{x: seed&0xffffffff | 1, c: seed >> 32 % 4294957664}
-	a := &Agent{port: port, rnd: rand.New(g), agents: max(agents, 1), txns: map[string]*txn{}, armed: math.Inf(1)}
+	a := &Agent{port: port, rnd: rand.New(g), agents: max(agents, 1), txns: map[string]*txn{}, armed: math.Inf(1), recallAt: math.Inf(1)}
 	a.salt = g.Uint64()
 	a.allow, a.ties, a.sightings = map[int][]float64{}, map[string]int{}, map[string]float64{}
 	a.index = map[string]int{}
