--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,11 +30,18 @@
 	backLevel    = 4.60 // the same at 99%: the agent looks often, and one vote may undo a good build
 	sureBack     = 0.99 // posterior mass beyond the zone that a failure share needs
 	alone        = 2000 // where one vote decides, those who saw little leave it so long to the others
-	suspectAt    = 1.3  // times the other machines latency
-	suspectLeast = 6    // outcomes
-	leastEach    = 5    // outcomes by machine, and
-	fewestEach   = 3    // machines, that tell how machines of one build differ
-	keep         = 400  // outcomes kept by build and product
+	heatTime     = 2000
+	hotAt        = 1.45 // times the latency before the build: hot
+	hotEnds      = 1.25
+	hotLong      = 9000
+	releaseTail  = 4000 // after a release, while the last traffic moves over
+	demandMore   = 1.3  // times the txns before the build: the cause of any heat
+	beforeTime   = 6000
+	suspectAt    = 1.3 // times the other machines latency
+	suspectLeast = 6   // outcomes
+	leastEach    = 5   // outcomes by machine, and
+	fewestEach   = 3   // machines, that tell how machines of one build differ
+	keep         = 400 // outcomes kept by build and product
 
 	coldMargin   = 0.7  // part of the cold budget used: work varies, and other agents are not seen
 	coldDepth    = 0.25 // part of the budget's window that may go at once, against a burst on a fresh machine
@@ -283,6 +290,11 @@
 	t.sla = min(t.sla, t.expiry)
 	a.taken++
 	a.sightings[key]++
+	a.demand *= math.Exp(-(now - a.demandAt) / heatTime)
+	a.demandAt = now
+	if !again {
+		a.demand++
+	}
 	a.worth += (p.Revenue*t.work - a.worth) * max(0.01, 1/a.taken)
 	a.spare = min(a.spare+copyShare, 5)
 	for build, b := range a.allow {
@@ -624,6 +636,7 @@
 			a.offered(build)
 		}
 		if stage != a.stage || phase != a.phase {
+			a.phaseAt = now
 			a.begun, a.want = 0, None // what was seen of one stage carries no vote on the next
 		}
 		if phase == GoingBack || phase == Withdrawn {
@@ -640,6 +653,7 @@
 
 // offered turns the page: what a released build has shown becomes the earlier build's record.
 func (a *Agent) offered(build int) {
+	was := [2][][]outcome{slices.Clone(a.evidence[0]), slices.Clone(a.evidence[1])}
 	if a.known && a.phase == Released {
 		a.evidence[0], a.evidence[1] = a.evidence[1], a.evidence[0]
 	}
@@ -653,7 +667,22 @@
 			a.placed += a.rating[i]
 		}
 	}
-	a.begun, a.want, a.stands, a.stage = 0, None, None, -1
+	a.begun, a.want, a.stands, a.stage, a.hotSince = 0, None, None, -1, math.Inf(1)
+	a.before.demand = a.demand
+	for p := range a.before.usual {
+		var lat []float64
+		for _, arm := range was {
+			for _, o := range arm[p] {
+				if o.steady && o.at > a.now-beforeTime {
+					lat = append(lat, o.lat)
+				}
+			}
+		}
+		a.before.usual[p] = 0
+		if len(lat) >= leastSample/2 {
+			a.before.usual[p] = middle(lat)
+		}
+	}
 	a.judgeAt = a.now
 }
 
@@ -720,8 +749,12 @@
 	if a.begun == 0 {
 		return
 	}
+	hot, long := a.burning()
 	earned, worse := a.gates()
-	if worse {
+	if worse == "" && long {
+		worse = "old and new alike are slower since it came"
+	}
+	if a.reason = worse; worse != "" {
 		a.want = Back
 		return
 	}
@@ -739,19 +772,22 @@
 	if a.slower() {
 		earned, ready = false, max(ready, a.lastStart+a.warmTime+wait)
 	}
-	if a.phase == OnTrial && a.control != Clocked && a.now >= a.lastStart+floorOn && (earned || a.now >= ready) {
+	if a.phase == OnTrial && a.control != Clocked && a.now >= a.lastStart+floorOn && (earned || a.now >= ready) && !hot {
 		a.want = On
 	}
 }
 
 // gates compares the builds product by product, and all products at once by latency over the product's usual one,
 // which sees a slow build sooner and hides no single product.
-func (a *Agent) gates() (earned, worse bool) {
+func (a *Agent) gates() (earned bool, worse string) {
 	var neu, old []outcome
 	for p := range a.products {
 		n, o := a.evidence[1][p], a.evidence[0][p]
 		e, w := compare(n, o)
-		earned, worse = earned || e, worse || w
+		if w != "" {
+			return false, fmt.Sprintf("product %d: %s", p, w)
+		}
+		earned = earned || e
 		neu, old = append(neu, n...), append(old, o...)
 	}
 	for _, s := range [][]outcome{neu, old} {
@@ -760,8 +796,46 @@
 			s[k].lat = s[k].rel
 		}
 	}
-	e, w := compare(neu, old)
-	return earned || e, worse || w
+	e, worse := compare(neu, old)
+	return earned || e, worse
+}
+
+// heat is the whole fleet's latency of late over what it was before the build came: the before/after that stands in
+// for a comparison where a build slows old and new alike. 0 where too little is seen, or where more is asked of the
+// agent than before, for then the cause is known. Cold machines are left out.
+func (a *Agent) heat() float64 {
+	if a.demand > demandMore*a.before.demand {
+		return 0
+	}
+	var now []float64
+	for _, arm := range a.evidence {
+		for p, e := range arm {
+			for k := len(e) - 1; k >= 0 && e[k].at > a.now-heatTime && a.before.usual[p] > 0; k-- {
+				if e[k].steady {
+					now = append(now, e[k].lat/a.before.usual[p])
+				}
+			}
+		}
+	}
+	if len(now) < leastSample {
+		return 0
+	}
+	return middle(now)
+}
+
+// burning follows the heat. What began before the build had a share worth the name, or well after its release, is
+// not its doing and is passed over until it ends. Heat holds 'on' back, and earns 'back' once it has outlasted
+// most outside trouble. It may hurt a good build that comes with a long slowness from outside.
+func (a *Agent) burning() (hot, long bool) {
+	h := a.heat()
+	switch {
+	case h >= hotAt && math.IsInf(a.hotSince, 1):
+		a.hotSince, a.excused = a.now, a.stage < 1 || a.phase == Released && a.now > a.phaseAt+releaseTail
+	case h < hotEnds:
+		a.hotSince = math.Inf(1)
+	}
+	hot = a.now >= a.hotSince && !a.excused
+	return hot, hot && a.now >= a.hotSince+hotLong
 }
 
 // slower tells that the newest build's machines look slower of late than the others, warm or not. It is no
@@ -782,12 +856,12 @@
 }
 
 // compare is gates two and three for one product.
-func compare(neu, old []outcome) (earned, worse bool) {
+func compare(neu, old []outcome) (earned bool, worse string) {
 	if failing(neu, old) {
-		return false, true
+		return false, fmt.Sprintf("failures %d of %d against %d of %d", fails(neu), len(neu), fails(old), len(old))
 	}
 	if len(neu) < leastSample || len(old) < leastSample {
-		return false, false
+		return false, ""
 	}
 	ns, paired := slice(neu, nil, cut, leastSample/cut)
 	os, paired := slice(old, neu, cut, leastSample/cut)
@@ -815,11 +889,11 @@
 	for k := range ns {
 		nl, ol = append(nl, lat(ns[k])), append(ol, lat(os[k]))
 		if len(nl[k]) < leastSample/cut || len(ol[k]) < leastSample/cut {
-			return earned, false
+			return earned, ""
 		}
 	}
 	if !paired || !agree(nl) || !agree(ol) {
-		return earned, false
+		return earned, ""
 	}
 	all := lat(old)
 	room := 2 * spread(old, leastEach, fewestEach, func(o outcome) (float64, bool) { return o.lat, o.steady }) / math.Sqrt(machines(neu))
@@ -832,10 +906,10 @@
 		lo, hi := interval(d, onLevel, 0)
 		earned = earned || lo > -zoneLatency*base && hi < zoneLatency*base || hi < -zoneLatency*base
 		if lo, _ = interval(d, backLevel, 0); lo > zoneLatency*base+room {
-			return false, true
+			return false, fmt.Sprintf("latency quantile %.2f: at least %.0f%% more", q, 100*lo/base)
 		}
 	}
-	return earned, false
+	return earned, ""
 }
 
 // failing is the interval on a failure share: a posterior, for it also speaks below the least sample and at no failures.
@@ -887,18 +961,7 @@
 func (a *Agent) vote() {
 	a.pending, a.asking, a.askingStage = true, a.want, a.stage
 	a.port.Vote(a.newest, a.want, a.stage)
-	var m, n [2]float64
-	for arm := range a.evidence {
-		for _, e := range a.evidence[arm] {
-			for _, o := range e {
-				if o.at > a.now-3000 {
-					m[arm] += o.rel
-					n[arm]++
-				}
-			}
-		}
-	}
-	a.port.Log(fmt.Sprintf("vote %d stage %d phase %d want %d stands %d/%d, begun %.0f ago, n %v rel %.2f %.2f slower %v limit %.1f open %d usual %.0f", a.newest, a.stage, a.phase, a.want, a.stands, a.standsStage, a.now-a.begun, n, m[0]/max(n[0], 1), m[1]/max(n[1], 1), a.slower(), a.limit, a.open, a.usual))
+	a.port.Log(fmt.Sprintf("vote %d on build %d stage %d %s", a.want, a.newest, a.stage, a.reason))
 }
 
 // ReportedWrong corrects the agent's own outcome.
--- a/policy/state.go
+++ b/policy/state.go
@@ -98,9 +98,17 @@
 	stands        Verdict
 	standsStage   int
 	renew, voteAt float64
-	pending       bool
-	asking        Verdict
-	askingStage   int
+	reason        string  // why the last 'back' was wanted
+	phaseAt       float64 // when its stage or phase last changed
+	hotSince      float64
+	excused       bool
+	before        struct {
+		usual  []float64 // latency by product
+		demand float64
+	}
+	pending     bool
+	asking      Verdict
+	askingStage int
 }
 
 // Agent is one instance of the decisions.
@@ -134,21 +142,22 @@
 
 	fleet
 	trial
-	txns         map[string]*txn
-	todo         []*txn
-	held         []*txn // waiting for a place, oldest first
-	recallAt     float64
-	alarms       alarms
-	armed        float64
-	token        uint64
-	usual        []float64 // mean latency by product
-	pace, paceAt float64
-	paceAge      float64
-	spare        float64
-	meanMs       float64
-	worth        float64   // mean revenue
-	longest      []float64 // by product: the longest time of a try
-	workMean     float64
+	txns             map[string]*txn
+	todo             []*txn
+	held             []*txn // waiting for a place, oldest first
+	recallAt         float64
+	alarms           alarms
+	armed            float64
+	token            uint64
+	usual            []float64 // mean latency by product
+	pace, paceAt     float64
+	paceAge          float64
+	demand, demandAt float64 // first tries of late
+	spare            float64
+	meanMs           float64
+	worth            float64   // mean revenue
+	longest          []float64 // by product: the longest time of a try
+	workMean         float64
 }
 
 // New makes an agent; seed starts its generator.
@@ -165,6 +174,7 @@
 func (a *Agent) Serve(products []Product, maxSubs int, copies, revoke bool) {
 	a.products, a.maxSubs, a.copies, a.revoke = products, maxSubs, copies, revoke
 	a.usual, a.longest = make([]float64, len(products)), make([]float64, len(products))
+	a.before.usual, a.hotSince = make([]float64, len(products)), math.Inf(1)
 	for i := range a.evidence {
 		a.evidence[i] = make([][]outcome, len(products))
 	}
--- a/policy/stats.go
+++ b/policy/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -101,3 +102,8 @@
 	}
 	return max(float64(len(seen)), 1)
 }
+
+func middle(x []float64) float64 {
+	slices.Sort(x)
+	return stat.Quantile(0.5, stat.Empirical, x, nil)
+}
