--- a/policy/policy.go
+++ b/policy/policy.go
@@ -680,7 +680,7 @@
 		}
 		a.before.usual[p] = 0
 		if len(lat) >= leastSample/2 {
-			a.before.usual[p] = middle(lat)
+			a.before.usual[p] = low(lat)
 		}
 	}
 	a.judgeAt = a.now
@@ -820,7 +820,7 @@
 	if len(now) < leastSample {
 		return 0
 	}
-	return middle(now)
+	return low(now)
 }
 
 // burning follows the heat. What began before the build had a share worth the name, or well after its release, is
--- a/policy/stats.go
+++ b/policy/stats.go
@@ -103,7 +103,7 @@
 	return max(float64(len(seen)), 1)
 }
 
-func middle(x []float64) float64 {
+func low(x []float64) float64 {
 	slices.Sort(x)
-	return stat.Quantile(0.5, stat.Empirical, x, nil)
+	return stat.Quantile(0.15, stat.Empirical, x, nil)
 }
