--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	backLevel    = 4.60 // the same at 99%: the agent looks often, and one vote may undo a good build
 	sureBack     = 0.99 // posterior mass beyond the zone that a failure share needs
 	alone        = 2000 // where one vote decides, those who saw little leave it so long to the others
-	heatTime     = 2000
+	heatTime     = 3000
 	hotAt        = 1.45 // times the latency before the build: hot
 	hotEnds      = 1.25
 	hotLong      = 9000
@@ -680,9 +680,10 @@
 		}
 		a.before.usual[p] = 0
 		if len(lat) >= leastSample/2 {
-			a.before.usual[p] = low(lat)
+			a.before.usual[p] = quantile(0.3, lat)
 		}
 	}
+	a.before.typical = a.typical(was, beforeTime)
 	a.judgeAt = a.now
 }
 
@@ -807,20 +808,35 @@
 	if a.demand > demandMore*a.before.demand {
 		return 0
 	}
-	var now []float64
-	for _, arm := range a.evidence {
+	if h := a.typical(a.evidence, heatTime); a.before.typical > 0 {
+		return h / a.before.typical
+	}
+	return 0
+}
+
+// typical is a low latency of a machine of the faster part, over the usual of each product: low, since queues touch
+// it least, and of the faster part, so that trouble of some machines does not pass for trouble of all.
+func (a *Agent) typical(evidence [2][][]outcome, span float64) float64 {
+	by := make([][]float64, len(a.id))
+	for _, arm := range evidence {
 		for p, e := range arm {
-			for k := len(e) - 1; k >= 0 && e[k].at > a.now-heatTime && a.before.usual[p] > 0; k-- {
+			for k := len(e) - 1; k >= 0 && e[k].at > a.now-span && a.before.usual[p] > 0; k-- {
 				if e[k].steady {
-					now = append(now, e[k].lat/a.before.usual[p])
+					by[e[k].app] = append(by[e[k].app], e[k].lat/a.before.usual[p])
 				}
 			}
 		}
 	}
-	if len(now) < leastSample {
+	var each []float64
+	for _, lat := range by {
+		if len(lat) >= fewestEach {
+			each = append(each, quantile(0.3, lat))
+		}
+	}
+	if len(each) < fewestEach {
 		return 0
 	}
-	return low(now)
+	return quantile(0.3, each)
 }
 
 // burning follows the heat. What began before the build had a share worth the name, or well after its release, is
--- a/policy/state.go
+++ b/policy/state.go
@@ -103,8 +103,8 @@
 	hotSince      float64
 	excused       bool
 	before        struct {
-		usual  []float64 // latency by product
-		demand float64
+		usual           []float64 // latency by product
+		demand, typical float64
 	}
 	pending     bool
 	asking      Verdict
--- a/policy/stats.go
+++ b/policy/stats.go
@@ -103,7 +103,7 @@
 	return max(float64(len(seen)), 1)
 }
 
-func low(x []float64) float64 {
+func quantile(q float64, x []float64) float64 {
 	slices.Sort(x)
-	return stat.Quantile(0.15, stat.Empirical, x, nil)
+	return stat.Quantile(q, stat.Empirical, x, nil)
 }
