--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,8 +31,8 @@
 	sureBack     = 0.99 // posterior mass beyond the zone that a failure share needs
 	alone        = 2000 // where one vote decides, those who saw little leave it so long to the others
 	heatTime     = 3000
-	hotAt        = 1.45 // times the latency before the build: hot
-	hotEnds      = 1.25
+	hotAt        = 1.6 // times the latency before the build: hot
+	hotEnds      = 1.35
 	hotLong      = 9000
 	releaseTail  = 4000 // after a release, while the last traffic moves over
 	demandMore   = 1.3  // times the txns before the build: the cause of any heat
@@ -432,14 +432,17 @@
 	if limit >= capPart {
 		limit = 1
 	}
-	// Where the earlier machines stay, the new ones still get what their places would: more is seen of the
-	// build, and sooner, at no more load a machine.
-	if a.placed > 0 {
+	// Where the earlier machines stay, the last stage's get what their places would, at no more load a machine.
+	if a.last() {
 		all = min(all, a.placed)
 	}
 	return min(neu/all, limit)
 }
 
+// last tells that the stage covers all places; where the earlier machines stay they are then left idle, and latencies
+// under unlike loads are not compared.
+func (a *Agent) last() bool { return a.stage == len(a.stages)-1 && a.placed > 0 }
+
 // pick chooses the arm, then of two random appliances in it the one with less to do.
 func (a *Agent) pick(t *txn) int {
 	trial := a.draw(t) < a.share()
@@ -784,7 +787,7 @@
 	var neu, old []outcome
 	for p := range a.products {
 		n, o := a.evidence[1][p], a.evidence[0][p]
-		e, w := compare(n, o)
+		e, w := compare(n, o, !a.last())
 		if w != "" {
 			return false, fmt.Sprintf("product %d: %s", p, w)
 		}
@@ -797,7 +800,7 @@
 			s[k].lat = s[k].rel
 		}
 	}
-	e, worse := compare(neu, old)
+	e, worse := compare(neu, old, !a.last())
 	return earned || e, worse
 }
 
@@ -872,7 +875,7 @@
 }
 
 // compare is gates two and three for one product.
-func compare(neu, old []outcome) (earned bool, worse string) {
+func compare(neu, old []outcome, alike bool) (earned bool, worse string) {
 	if failing(neu, old) {
 		return false, fmt.Sprintf("failures %d of %d against %d of %d", fails(neu), len(neu), fails(old), len(old))
 	}
@@ -908,7 +911,7 @@
 			return earned, ""
 		}
 	}
-	if !paired || !agree(nl) || !agree(ol) {
+	if !alike || !paired || !agree(nl) || !agree(ol) {
 		return earned, ""
 	}
 	all := lat(old)
