--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,10 +48,8 @@
 	paceTime     = 4000 // over which the load that warm appliances bear is averaged
 	doubtTime    = 5000 // over which an appliance's record fades
 	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
-	copyAfter    = 0.45 // of the SLA time: a second copy may go
-	copyShare    = 0.05 // second copies for each txn
-	limitUp      = 0.2  // open submissions more at an appliance for each answer in time
-	limitDown    = 1.0  // and fewer for each late one
+	limitUp      = 0.20 // open submissions more at an appliance for each answer in time
+	limitDown    = 2.0  // and fewer for each late one
 	limitBinds   = 0.6  // part of the limit from which it is taken to bind
 	limitFirst   = 4
 	limitLeast   = 2   // for all agents together
@@ -85,7 +83,7 @@
 		}, func(a *Agent) { a.end(a.todo[0]) }},
 		{"route", func(a *Agent) bool { return len(a.todo) > 0 && a.todo[0].out == 0 }, (*Agent).route},
 		{"recall", func(a *Agent) bool { return a.now >= a.recallAt && len(a.held) > 0 }, (*Agent).recall},
-		{"copy", func(a *Agent) bool { return len(a.todo) > 0 }, (*Agent).second},
+		{"overdue", func(a *Agent) bool { return len(a.todo) > 0 }, (*Agent).overdue},
 		{"ask", func(a *Agent) bool { return a.asked && !a.subscribed && a.now >= a.askAt }, (*Agent).ask},
 		{"judge", func(a *Agent) bool { return a.now >= a.judgeAt }, (*Agent).judge},
 		{"vote", (*Agent).voteDue, (*Agent).vote},
@@ -296,7 +294,6 @@
 		a.demand++
 	}
 	a.worth += (p.Revenue*t.work - a.worth) * max(0.01, 1/a.taken)
-	a.spare = min(a.spare+copyShare, 5)
 	for build, b := range a.allow {
 		if limit, on := a.capOf(build); on {
 			b[a.lane(product)] = min(b[a.lane(product)]+limit, a.free)
@@ -346,11 +343,9 @@
 		a.end(t)
 		return
 	}
-	p := &a.products[t.product]
 	if i := a.pick(t); i >= 0 {
 		t.held = false
 		a.send(t, i)
-		a.look(a.now+copyAfter*p.SLA, t)
 		a.look(t.sla, t)
 		return
 	}
@@ -389,11 +384,11 @@
 	}
 }
 
-// second holds an overdue submission against its appliance and, within a small budget, sends one more copy.
-func (a *Agent) second() {
+// overdue holds a submission past the SLA time against its appliance at once, not when its outcome comes at last.
+// No second copy goes out beside it: measured, copies cost more in a shortage than they saved elsewhere.
+func (a *Agent) overdue() {
 	t := a.todo[0]
 	a.next()
-	p := &a.products[t.product]
 	for k := range t.subs {
 		if s := &t.subs[k]; s.out && !s.late && a.now >= t.sla {
 			s.late = true
@@ -401,14 +396,6 @@
 			a.press(s.app, false)
 		}
 	}
-	if p.Effect == OnceOnly || t.took || t.out != 1 || a.spare < 1 || a.now >= t.sla ||
-		a.now < t.subs[len(t.subs)-1].at+copyAfter*p.SLA {
-		return
-	}
-	if i := a.pick(t); i >= 0 {
-		a.spare--
-		a.send(t, i)
-	}
 }
 
 // share is the part of the txns that the newest build gets: its machines' share, within the cap.
@@ -487,8 +474,6 @@
 	}
 	if len(fresh) > 0 {
 		open = fresh
-	} else if t.out > 0 {
-		return -1 // a second copy beside the first helps nothing
 	}
 	best, bestLoad := -1, math.Inf(1)
 	for n := 0; n < 2 && len(open) > 0; {
--- a/policy/state.go
+++ b/policy/state.go
@@ -153,7 +153,6 @@
 	pace, paceAt     float64
 	paceAge          float64
 	demand, demandAt float64 // first tries of late
-	spare            float64
 	meanMs           float64
 	worth            float64   // mean revenue
 	longest          []float64 // by product: the longest time of a try
