--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,8 @@
 	cut          = 5    // slices
 	leastSample  = 20   // outcomes by build and product
 	onLevel      = 2.13 // Student's t, four degrees: 90%
-	backLevel    = 4.60 // the same at 99%: the agent looks often, and one vote may undo a good build
+	backLevel    = 5.60 // the same at 99.5%: the agent looks often, and one vote may undo a good build
+	percentiles  = 2    // that must be wholly slower: one of many looked at so often is by chance
 	sureBack     = 0.99 // posterior mass beyond the zone that a failure share needs
 	alone        = 2000 // where one vote decides, those who saw little leave it so long to the others
 	heatTime     = 3000
@@ -49,19 +50,20 @@
 	doubtTime    = 5000 // over which an appliance's record fades
 	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
 	limitUp      = 0.20 // open submissions more at an appliance for each answer in time
-	limitDown    = 2.0  // and fewer for each late one
+	limitDown    = 4.0  // and fewer for each late one
 	limitBinds   = 0.6  // part of the limit from which it is taken to bind
 	limitFirst   = 4
 	limitLeast   = 2   // for all agents together
-	dearOnly     = 0.9 // part of the limit that is for any revenue
+	choices      = 6   // random appliances compared for a place: two see too little of 1 agent in 8
+	dearOnly     = 0.6 // part of the limit that is for any revenue
 	recallTries  = 4   // held txns in a row that find no place before the rest wait on
 	retryPause   = 25  // between looks for a place
 	endGuard     = 12  // the final answer leaves so long before the expiry
 	judgePause   = 200
-	renewAt      = 0.7 // of a vote's life, and up to 0.2 later, so that renewals scatter
-	capPart      = 0.9 // of the cap: the trial share that is aimed at
-	askPart      = 0.3 // of the time within which the list must be asked for
-	popularShare = 0.2 // of the cap: a key with more of the txns is not taken into a trial
+	renewAt      = 0.70 // of a vote's life, and up to 0.2 later, so that renewals scatter
+	capPart      = 0.9  // of the cap: the trial share that is aimed at
+	askPart      = 0.3  // of the time within which the list must be asked for
+	popularShare = 0.2  // of the cap: a key with more of the txns is not taken into a trial
 )
 
 // rule is a condition and an effect that makes the condition false.
@@ -476,7 +478,7 @@
 		open = fresh
 	}
 	best, bestLoad := -1, math.Inf(1)
-	for n := 0; n < 2 && len(open) > 0; {
+	for n := 0; n < choices && len(open) > 0; {
 		k := a.rnd.IntN(len(open))
 		i := open[k]
 		open[k] = open[len(open)-1]
@@ -624,7 +626,7 @@
 			a.offered(build)
 		}
 		if stage != a.stage || phase != a.phase {
-			a.phaseAt = now
+			a.phaseAt = now - age
 			a.begun, a.want = 0, None // what was seen of one stage carries no vote on the next
 		}
 		if phase == GoingBack || phase == Withdrawn {
@@ -761,7 +763,7 @@
 	if a.slower() {
 		earned, ready = false, max(ready, a.lastStart+a.warmTime+wait)
 	}
-	if a.phase == OnTrial && a.control != Clocked && a.now >= a.lastStart+floorOn && (earned || a.now >= ready) && !hot {
+	if a.phase == OnTrial && a.control != Clocked && a.now >= max(a.lastStart, a.phaseAt)+floorOn && (earned || a.now >= ready) && !hot {
 		a.want = On
 	}
 }
@@ -899,7 +901,7 @@
 	if !alike || !paired || !agree(nl) || !agree(ol) {
 		return earned, ""
 	}
-	all := lat(old)
+	all, slow := lat(old), 0
 	room := 2 * spread(old, leastEach, fewestEach, func(o outcome) (float64, bool) { return o.lat, o.steady }) / math.Sqrt(machines(neu))
 	for _, q := range []float64{0.5, 0.75, 0.9} {
 		var d []float64
@@ -910,10 +912,14 @@
 		lo, hi := interval(d, onLevel, 0)
 		earned = earned || lo > -zoneLatency*base && hi < zoneLatency*base || hi < -zoneLatency*base
 		if lo, _ = interval(d, backLevel, 0); lo > zoneLatency*base+room {
-			return false, fmt.Sprintf("latency quantile %.2f: at least %.0f%% more", q, 100*lo/base)
+			slow++
+			worse = fmt.Sprintf("latency quantile %.2f: at least %.0f%% more", q, 100*lo/base)
 		}
 	}
-	return earned, ""
+	if slow < percentiles {
+		return earned, ""
+	}
+	return false, worse
 }
 
 // failing is the interval on a failure share: a posterior, for it also speaks below the least sample and at no failures.
