--- /dev/null
+++ b/policy/engine.go
@@ -0,0 +1,66 @@
+package policy
+
+import (
+	"container/heap"
+)
+
+func (a *Agent) arm() {
+	a.token++
+	a.armed = a.alarms[0].at
+	a.port.Timer(max(a.armed-a.now, 0.001), a.token)
+}
+
+func (a *Agent) look(at float64, t *txn) { heap.Push(&a.alarms, alarm{at, t}) }
+
+func (h alarms) Len() int           { return len(h) }
+func (h alarms) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h alarms) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *alarms) Push(x any)        { *h = append(*h, x.(alarm)) }
+func (h *alarms) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+type alarms []alarm
+
+type alarm struct {
+	at float64
+	t  *txn
+}
+
+func (g *mwc) Uint64() uint64 { return g.next()<<32 | g.next() }
+
+func (g *mwc) next() uint64 {
+	t := 4294957665*g.x + g.c
+	g.x, g.c = t&0xffffffff, t>>32
+	return g.x
+}
+
+// mwc is a lag-1 multiply-with-carry generator.
+type mwc struct{ x, c uint64 }
+
+// rule is a condition and an effect that makes the condition false.
+type rule struct {
+	name string
+	when func(*Agent) bool
+	do   func(*Agent)
+}
+
+func (a *Agent) settle() {
+	for i := 0; i < len(rules); i++ {
+		if rules[i].when(a) {
+			rules[i].do(a)
+			i = -1
+		}
+	}
+}
+
+func (a *Agent) ring() {
+	if t := heap.Pop(&a.alarms).(alarm).t; t != nil && !t.ended {
+		a.todo = append(a.todo, t)
+	}
+}
+
+func (a *Agent) next() { a.todo = a.todo[1:] }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,12 +1,12 @@
 package policy
 
-// How to call: New, then each part's own call (Serve, Advise, Zone, Watch, Warm, Expose, Judge, Tenants) with its few
-// settings, then one call for each event with the time it came at. Every call ends by going through the
-// ordered rules below until none fires; they act through Port (port.go). Time and seed come only from outside.
+// How to call: New, then each part's own call (Serve, Advise, Zone, Watch, Warm, Expose, Judge, Tenants)
+// with its few settings, then one call for each event with the time it came at. Every call ends by going
+// through the ordered rules below until none fires; they act through Port (port.go). Time and seed come
+// only from outside.
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -18,31 +18,29 @@
 
 // The design's figures, and those it leaves open.
 const (
-	zoneLatency  = 0.10 // per latency percentile
-	zoneSingle   = 0.05 // for single figures
-	agreeCV      = 0.15 // gate two's bound on slices
-	farMore      = 2.0  // slices differ so many times more than halves of one: they do not agree
-	floorOn      = 3000 // no 'on' sooner after the stage's listed start times
-	wait         = 4000 // short of outcomes, 'on' comes after this barring a regression
-	cut          = 5    // slices
-	leastSample  = 20   // outcomes by build and product
-	onLevel      = 2.13 // Student's t, four degrees: 90%
-	backLevel    = 5.60 // the same at 99.5%: the agent looks often, and one vote may undo a good build
-	percentiles  = 2    // that must be wholly slower: one of many looked at so often is by chance
-	sureBack     = 0.99 // posterior mass beyond the zone that a failure share needs
-	alone        = 2000 // where one vote decides, those who saw little leave it so long to the others
-	heatTime     = 3000
-	hotAt        = 1.6 // times the latency before the build: hot
-	hotEnds      = 1.35
-	hotLong      = 9000
-	releaseTail  = 4000 // after a release, while the last traffic moves over
-	demandMore   = 1.3  // times the txns before the build: the cause of any heat
-	beforeTime   = 6000
-	suspectAt    = 1.3 // times the other machines latency
-	suspectLeast = 6   // outcomes
-	leastEach    = 5   // outcomes by machine, and
-	fewestEach   = 3   // machines, that tell how machines of one build differ
-	keep         = 400 // outcomes kept by build and product
+	zoneLatency = 0.10 // per latency percentile
+	zoneSingle  = 0.05 // for single figures
+	agreeCV     = 0.15 // gate two's bound on slices
+	farMore     = 2.0  // slices differ so many times more than halves of one: they do not agree
+	floorOn     = 3000 // no 'on' sooner after the stage's listed start times
+	wait        = 4000 // short of outcomes, 'on' comes after this barring a regression
+	cut         = 5    // slices
+	leastSample = 20   // outcomes by build and product
+	onLevel     = 2.13 // Student's t, four degrees: 90%
+	backLevel   = 5.60 // the same at 99.5%: the agent looks often, and one vote may undo a good build
+	percentiles = 2    // that must be wholly slower: one of many looked at so often is by chance
+	sureBack    = 0.99 // posterior mass beyond the zone that a failure share needs
+	alone       = 2000 // where one vote decides, those who saw little leave it so long to the others
+	heatTime    = 3000
+	hotAt       = 1.6 // times the latency before the build: hot
+	hotEnds     = 1.35
+	hotLong     = 9000
+	releaseTail = 4000 // after a release, while the last traffic moves over
+	demandMore  = 1.3  // times the txns before the build: the cause of any heat
+	beforeTime  = 6000
+	leastEach   = 5   // outcomes by machine, and
+	fewestEach  = 3   // machines, that tell how machines of one build differ
+	keep        = 400 // outcomes kept by build and product
 
 	coldMargin   = 0.7  // part of the cold budget used: work varies, and other agents are not seen
 	coldDepth    = 0.25 // part of the budget's window that may go at once, against a burst on a fresh machine
@@ -60,19 +58,22 @@
 	retryPause   = 25  // between looks for a place
 	endGuard     = 12  // the final answer leaves so long before the expiry
 	judgePause   = 200
-	renewAt      = 0.70 // of a vote's life, and up to 0.2 later, so that renewals scatter
+	renewAt      = 0.7  // of a vote's life
+	renewSpread  = 0.2  // and up to this later, so that renewals scatter
+	votePause    = 300  // before a vote that did not count is sent again
+	usualStep    = 0.02 // weight of one answer in a usual figure
+	relStep      = 0.1  // the same for one appliance
+	adviseLeast  = 0.25 // of the longest wait that clients follow: the advice, and up to
+	adviseSpread = 0.5  // this more, so that they do not come back together
+	relMost      = 10   // times the usual: what one answer counts at the most
+	lowPart      = 0.3  // the quantile that is taken for a low latency
+	steadyLeast  = 12   // outcomes of a machine whose halves are compared
 	capPart      = 0.9  // of the cap: the trial share that is aimed at
-	askPart      = 0.3  // of the time within which the list must be asked for
-	popularShare = 0.2  // of the cap: a key with more of the txns is not taken into a trial
+	askFirst     = 0.02 // of the time within which the list must be asked for: the first pause after a failure
+	askMost      = 0.3
+	popularShare = 0.2 // of the cap: a key with more of the txns is not taken into a trial
 )
 
-// rule is a condition and an effect that makes the condition false.
-type rule struct {
-	name string
-	when func(*Agent) bool
-	do   func(*Agent)
-}
-
 // rules are gone through in order after every input, from the top again after each that fires.
 var rules []rule
 
@@ -93,41 +94,20 @@
 	}
 }
 
-func (a *Agent) settle() {
-	for i := 0; i < len(rules); i++ {
-		if rules[i].when(a) {
-			rules[i].do(a)
-			i = -1
-		}
-	}
-}
-
-func (a *Agent) ring() {
-	if t := heap.Pop(&a.alarms).(alarm).t; t != nil && !t.ended {
-		a.todo = append(a.todo, t)
-	}
-}
-
-func (a *Agent) next() { a.todo = a.todo[1:] }
-
 // ---- the list
 
 func (a *Agent) ask() {
 	a.port.Subscribe()
 	a.subscribed = true // until a failure is told
-	a.failed = false
 }
 
-// ListFailed: a failure does not say which call it was, so the subscription is asked for again, later each time.
-func (a *Agent) ListFailed(now float64) {
-	a.now = now
-	pause := a.within * askPart * (0.1 + 0.2*a.rnd.Float64())
-	if a.failed {
-		pause *= 3
-	}
-	a.subscribed, a.failed, a.askAt = false, true, now+pause
+// retryList: a failure does not say which call it was, so the subscription is asked for again, later each
+// time and scattered, yet well within the time after which the agent would be taken to know what it was not
+// told.
+func (a *Agent) retryList() {
+	part := min(askFirst*math.Pow(2, a.failures), askMost) * (1 + a.rnd.Float64())
+	a.subscribed, a.askAt, a.failures = false, a.now+a.within*part, a.failures+1
 	a.look(a.askAt, nil)
-	a.settle()
 }
 
 // coldness is the part of its capacity that an appliance has at the least.
@@ -181,7 +161,8 @@
 	return a.exposed(t, i) && a.warmEnough(t, i)
 }
 
-// exposed keeps the cap by a bucket: in any stretch of time no more than free + cap x txns taken in it can leave.
+// exposed keeps the cap by a bucket: in any stretch of time no more than free + cap x txns taken in it can
+// leave.
 func (a *Agent) exposed(t *txn, i int) bool {
 	if tie, ok := a.ties[t.key]; ok && t.key != "" && a.builds[i] < tie {
 		return false
@@ -207,7 +188,8 @@
 		return true
 	}
 	pace := a.pace / paceTime / max(1-math.Exp(-a.paceAge/paceTime), 0.05) * a.rating[i]
-	// One core at the least bears one txn per latency, shared by all agents: the floor where nothing warm is seen.
+	// One core at the least bears one txn per latency, shared by all agents: the floor where nothing warm
+	// is seen.
 	mean := a.meanMs
 	if mean == 0 {
 		mean = a.products[t.product].SLA
@@ -232,7 +214,8 @@
 	a.port.Submit(t.id, a.id[i], 0)
 }
 
-// end gives the one final answer: a decline where nothing can have run or a repeat does no harm, else a void.
+// end gives the one final answer: a decline where nothing can have run or a repeat does no harm, else a
+// void.
 func (a *Agent) end(t *txn) {
 	if t.ended {
 		return
@@ -244,67 +227,35 @@
 		clean = clean && s.unrun
 	}
 	if clean || p.Effect == InquiryLike || p.Effect == Referenced && p.Group == GroupAll {
-		a.port.Decline(t.id, a.maxWait*min(1, 0.25+0.5*a.rnd.Float64()))
+		a.port.Decline(t.id, a.maxWait*(adviseLeast+adviseSpread*a.rnd.Float64()))
 	} else {
 		a.port.Void(t.id)
 	}
 	a.drop(t)
 }
 
-// drop calls off what is still out for an ended txn and forgets it once nothing is.
-func (a *Agent) drop(t *txn) {
-	t.ended = true
-	if t.out == 0 {
-		delete(a.txns, t.id)
-		return
-	}
-	for k := range t.subs {
-		if s := &t.subs[k]; s.out && a.revoke && !s.late {
-			s.late = true
-			a.port.Revoke(t.id, k)
-		}
-	}
-}
-
 // ---- routing
 
-// Txn takes a txn; left is the time of this try.
-func (a *Agent) Txn(now float64, id, key string, product, tenant int, again bool, left, hint float64) {
-	a.now = now
-	p := &a.products[product]
-	t := &txn{id: id, key: key, product: product, came: now, expiry: now + left, sla: now + p.SLA, work: 1}
-	if hint > 0 {
-		if a.workMean == 0 {
-			a.workMean = hint
-		}
-		a.workMean += 0.02 * (hint - a.workMean)
-		t.work = hint / a.workMean
-		t.sla += p.Stretch * hint
-	}
-	// A repeat's SLA time began with the client's first try. What is left of the expiry tells when, once it is
-	// less than a first try gets.
-	a.longest[product] = max(a.longest[product], left)
-	if again && left < a.longest[product]-1 {
+// admit sets a new txn's SLA time and counts it where the cap, the reserve for the dear and the heat need
+// it.
+func (a *Agent) admit(t *txn, again bool, left, hint float64) {
+	p := &a.products[t.product]
+	t.sla = t.came + p.SLA + p.Stretch*hint
+	// A repeat's SLA time began with the client's first try. What is left of the expiry tells when, once it
+	// is less than a first try gets.
+	a.longest[t.product] = max(a.longest[t.product], left)
+	if again && left < a.longest[t.product]-1 {
 		t.sla -= p.Expiry - left
 	}
 	t.sla = min(t.sla, t.expiry)
-	a.taken++
-	a.sightings[key]++
-	a.demand *= math.Exp(-(now - a.demandAt) / heatTime)
-	a.demandAt = now
-	if !again {
-		a.demand++
-	}
-	a.worth += (p.Revenue*t.work - a.worth) * max(0.01, 1/a.taken)
-	for build, b := range a.allow {
+	a.worth += (p.Revenue*t.work - a.worth) * max(usualStep, 1/a.taken)
+	for build, b := range a.allow { // each build's bucket by itself: the order does not matter
 		if limit, on := a.capOf(build); on {
-			b[a.lane(product)] = min(b[a.lane(product)]+limit, a.free)
+			b[a.lane(t.product)] = min(b[a.lane(t.product)]+limit, a.free)
 		}
 	}
-	a.txns[id] = t
 	a.todo = append(a.todo, t)
 	a.look(t.expiry-endGuard, t)
-	a.settle()
 }
 
 // hopeless tells that an answer within the SLA time can no longer be had.
@@ -312,8 +263,9 @@
 	return a.now+a.usual[t.product] >= t.sla && (a.products[t.product].Late == 0 || len(t.subs) == 0)
 }
 
-// room tells that the own open submissions, at the appliance and in all, are fewer than those lately answered in
-// time. The limits keep queues short where late work is not called off; the dear may use the last of them.
+// room tells that the own open submissions, at the appliance and in all, are fewer than those lately
+// answered in time. The limits keep queues short where late work is not called off; the dear may use the
+// last of them.
 func (a *Agent) room(t *txn, i int) bool {
 	part := 1.0
 	if a.products[t.product].Revenue*t.work < a.worth {
@@ -358,8 +310,8 @@
 	}
 }
 
-// recall lets the longest-held txns try again once an outcome, the list or the passing of a little time may have
-// made room: oldest first, or newer ones would starve them past their SLA time.
+// recall lets the longest-held txns try again once an outcome, the list or the passing of a little time may
+// have made room: oldest first, or newer ones would starve them past their SLA time.
 func (a *Agent) recall() {
 	a.recallAt = math.Inf(1)
 	held := a.held
@@ -386,8 +338,9 @@
 	}
 }
 
-// overdue holds a submission past the SLA time against its appliance at once, not when its outcome comes at last.
-// No second copy goes out beside it: measured, copies cost more in a shortage than they saved elsewhere.
+// overdue holds a submission past the SLA time against its appliance at once, not when its outcome comes at
+// last. No second copy goes out beside it: measured, copies cost more in a shortage than they saved
+// elsewhere.
 func (a *Agent) overdue() {
 	t := a.todo[0]
 	a.next()
@@ -421,15 +374,16 @@
 	if limit >= capPart {
 		limit = 1
 	}
-	// Where the earlier machines stay, the last stage's get what their places would, at no more load a machine.
+	// Where the earlier machines stay, the last stage's get what their places would, at no more load a
+	// machine.
 	if a.last() {
 		all = min(all, a.placed)
 	}
 	return min(neu/all, limit)
 }
 
-// last tells that the stage covers all places; where the earlier machines stay they are then left idle, and latencies
-// under unlike loads are not compared.
+// last tells that the stage covers all places; where the earlier machines stay they are then left idle, and
+// latencies under unlike loads are not compared.
 func (a *Agent) last() bool { return a.stage == len(a.stages)-1 && a.placed > 0 }
 
 // pick chooses the arm, then of two random appliances in it the one with less to do.
@@ -451,7 +405,8 @@
 	return a.pickIn(t, !trial)
 }
 
-// draw is a txn's place in [0,1): by key where keys stay with a build, so that the trial's keys are the same ones.
+// draw is a txn's place in [0,1): by key where keys stay with a build, so that the trial's keys are the
+// same ones.
 func (a *Agent) draw(t *txn) float64 {
 	if !a.keysStay || t.key == "" {
 		return a.rnd.Float64()
@@ -498,7 +453,8 @@
 	return (float64(a.open[i]) + 1) / (a.rating[i] * a.coldness(i)) * a.rel[i]
 }
 
-// doubted draws the appliance's chance of an answer in time from its posterior and holds it against the fleet's.
+// doubted draws the appliance's chance of an answer in time from its posterior and holds it against the
+// fleet's.
 func (a *Agent) doubted(i int) bool {
 	f := math.Exp(-(a.now - a.seenAt[i]) / doubtTime)
 	if a.poor[i]*f < 0.5 {
@@ -513,200 +469,62 @@
 	return drawn < doubtBar*(good+1)/(good+poor+1)
 }
 
-func (a *Agent) note(i int, good bool) {
-	f := math.Exp(-(a.now - a.seenAt[i]) / doubtTime)
-	a.good[i], a.poor[i], a.seenAt[i] = a.good[i]*f, a.poor[i]*f, a.now
-	if good {
-		a.good[i]++
-	} else {
-		a.poor[i]++
-	}
-}
-
-// Hangup: the client has gone; an id no longer held is passed over.
-func (a *Agent) Hangup(now float64, id string) {
-	a.now = now
-	if t := a.txns[id]; t != nil && !t.ended {
-		a.drop(t)
-	}
-	a.settle()
-}
-
-// Outcome ends one submission.
-func (a *Agent) Outcome(now float64, id string, sub int, r Result, final bool, took, waiting, busy float64) {
-	a.now = now
-	t := a.txns[id]
-	if t == nil || sub < 0 || sub >= len(t.subs) || !t.subs[sub].out {
-		a.settle()
-		return
-	}
-	s := &t.subs[sub]
-	s.out = false
-	s.unrun = r == Rejected || r == Unconnected || r == Moot
-	t.out--
-	a.recallAt = a.now
-	i := s.app
-	a.open[i]--
-	p := &a.products[t.product]
+// ended draws the conclusions from one submission's end.
+func (a *Agent) ended(t *txn, s *submission, r Result, took float64) {
+	good := r == Settled && a.now <= t.sla
 	if r != Revoked && r != Moot && !s.late {
-		a.note(i, r == Settled && now <= t.sla)
+		a.note(s.app, good)
 		if r != Unconnected && r != Errored {
-			a.press(i, r == Settled && now <= t.sla)
+			a.press(s.app, good)
 		}
 	}
 	if r == Settled {
-		a.learn(i, t, took)
-		if t.key != "" && a.keysStay {
-			if _, on := a.capOf(s.build); on || s.build == a.newest && a.phase == Released {
-				a.ties[t.key] = max(a.ties[t.key], s.build)
-			}
+		a.learn(s.app, t, took)
+		_, on := a.capOf(s.build)
+		if a.keysStay && t.key != "" && (on || s.build == a.newest && a.phase == Released) {
+			a.ties[t.key] = max(a.ties[t.key], s.build)
 		}
 	}
-	a.witness(s, t, r, took)
-	if final && !t.ended {
-		t.ended = true
+	// Proven not run, called off: no word on the build.
+	if a.known && r != Rejected && r != Unconnected && r != Moot && r != Revoked {
+		a.witness(s, t, r == Errored || r == Broken, took)
 	}
-	if t.ended {
+	switch {
+	case t.ended:
 		a.drop(t)
-	} else if t.out == 0 {
-		if p.Effect == InquiryLike || s.unrun || p.Effect == Referenced {
-			a.todo = append(a.todo, t)
-		} else {
-			a.end(t)
-		}
-	}
-	a.settle()
-}
-
-// learn keeps the usual latencies and the load that warm appliances bear.
-func (a *Agent) learn(i int, t *txn, took float64) {
-	u := &a.usual[t.product]
-	if *u == 0 {
-		*u = took
-	}
-	*u += 0.02 * (took - *u)
-	if a.meanMs == 0 {
-		a.meanMs = took
-	}
-	a.meanMs += 0.02 * (took - a.meanMs)
-	a.rel[i] += 0.1 * (min(max(took/max(*u, 1), 0.2), 10) - a.rel[i])
-	warm := 0.0
-	for k := range a.id {
-		if a.state[k] == Running && a.coldness(k) >= 1 {
-			warm += a.rating[k]
-		}
-	}
-	if warm > 0 && a.coldness(i) >= 1 {
-		if a.paceAt > 0 {
-			dt := a.now - a.paceAt
-			a.pace, a.paceAge = a.pace*math.Exp(-dt/paceTime), a.paceAge+dt
-		}
-		a.pace, a.paceAt = a.pace+t.work/warm, a.now
+	case t.out == 0 && (s.unrun || a.products[t.product].Effect != OnceOnly):
+		a.todo = append(a.todo, t)
+	case t.out == 0:
+		a.end(t)
 	}
 }
 
 // ---- the trial: evidence, gates, votes
 
-// News tells where the newest build stands; reply is set when it answers a vote.
-func (a *Agent) News(now float64, build, stage int, phase Phase, reply Reply, limit, age float64, told bool) {
-	a.now = now
-	if reply != Unasked && a.pending {
-		a.pending = false
-		switch reply {
-		case Counted:
-			a.stands, a.standsStage = a.asking, a.askingStage
-			a.renew = now + a.life*(renewAt+0.2*a.rnd.Float64())
-		default:
-			a.voteAt = now + 150 + 350*a.rnd.Float64()
-			a.look(a.voteAt, nil)
-		}
-	}
-	if reply == Unasked || told {
-		if !a.known || build != a.newest {
-			a.offered(build)
-		}
-		if stage != a.stage || phase != a.phase {
-			a.phaseAt = now - age
-			a.begun, a.want = 0, None // what was seen of one stage carries no vote on the next
-		}
-		if phase == GoingBack || phase == Withdrawn {
-			for k, b := range a.ties {
-				if b == build {
-					delete(a.ties, k)
-				}
-			}
-		}
-		a.known, a.newest, a.stage, a.phase, a.cap = true, build, stage, phase, limit
-	}
-	a.settle()
-}
-
-// offered turns the page: what a released build has shown becomes the earlier build's record.
-func (a *Agent) offered(build int) {
-	was := [2][][]outcome{slices.Clone(a.evidence[0]), slices.Clone(a.evidence[1])}
-	if a.known && a.phase == Released {
-		a.evidence[0], a.evidence[1] = a.evidence[1], a.evidence[0]
-	}
-	for p := range a.evidence[1] {
-		a.evidence[1][p] = nil
-	}
-	a.places, a.placed = 0, 0
-	for i := range a.id {
-		if a.state[i] == Running && a.builds[i] < build {
-			a.places++
-			a.placed += a.rating[i]
-		}
-	}
-	a.begun, a.want, a.stands, a.stage, a.hotSince = 0, None, None, -1, math.Inf(1)
-	a.before.demand = a.demand
-	for p := range a.before.usual {
-		var lat []float64
-		for _, arm := range was {
-			for _, o := range arm[p] {
-				if o.steady && o.at > a.now-beforeTime {
-					lat = append(lat, o.lat)
-				}
-			}
-		}
-		a.before.usual[p] = 0
-		if len(lat) >= leastSample/2 {
-			a.before.usual[p] = quantile(0.3, lat)
-		}
-	}
-	a.before.typical = a.typical(was, beforeTime)
-	a.judgeAt = a.now
-}
-
-// witness files a submission's end as evidence. Proven not run, called off: no word on the build.
-func (a *Agent) witness(s *submission, t *txn, r Result, took float64) {
-	if !a.known || r == Rejected || r == Unconnected || r == Moot || r == Revoked {
+// answered reads the platform's answer to the vote that is out.
+func (a *Agent) answered(reply Reply) {
+	a.pending = false
+	if reply == Counted {
+		a.stands, a.standsStage = a.asking, a.askingStage
+		a.renew = a.now + a.life*(renewAt+renewSpread*a.rnd.Float64())
 		return
 	}
-	arm := 0
-	if s.build >= a.newest {
-		arm = 1
-	}
-	o := outcome{at: a.now, lat: took / t.work, bad: r == Errored || r == Broken, app: s.app}
-	o.rel = o.lat / max(a.usual[t.product], 1)
-	o.steady = !o.bad && a.steady(s.app, o.rel)
-	e := append(a.evidence[arm][t.product], o)
-	if len(e) > 2*keep {
-		e = slices.Clone(e[len(e)-keep:])
-	}
-	a.evidence[arm][t.product] = e
+	a.voteAt = a.now + votePause*(0.5+a.rnd.Float64())
+	a.look(a.voteAt, nil)
 }
 
-// steady is gate one's check of a machine: halves of its recent outcomes agree, or it is past its told warm-up.
+// steady is gate one's check of a machine: halves of its recent outcomes agree, or it is past its told
+// warm-up.
 func (a *Agent) steady(i int, rel float64) bool {
 	a.recent[i] = append(a.recent[i], rel)
-	if len(a.recent[i]) > 16 {
+	if len(a.recent[i]) > steadyLeast {
 		a.recent[i] = a.recent[i][1:]
 	}
 	if a.coldness(i) >= 1 {
 		return true
 	}
 	h := len(a.recent[i]) / 2
-	if h < 6 {
+	if 2*h < steadyLeast {
 		return false
 	}
 	x, y := stat.Mean(a.recent[i][:h], nil), stat.Mean(a.recent[i][h:], nil)
@@ -760,16 +578,18 @@
 	} else if a.control == Single {
 		ready += alone
 	}
-	if a.slower() {
-		earned, ready = false, max(ready, a.lastStart+a.warmTime+wait)
+	if !earned {
+		ready = max(ready, a.phaseAt+floorOn)
+	} else {
+		ready = max(a.lastStart, a.phaseAt) + floorOn
 	}
-	if a.phase == OnTrial && a.control != Clocked && a.now >= max(a.lastStart, a.phaseAt)+floorOn && (earned || a.now >= ready) && !hot {
+	if a.phase == OnTrial && a.control != Clocked && a.now >= ready && !hot {
 		a.want = On
 	}
 }
 
-// gates compares the builds product by product, and all products at once by latency over the product's usual one,
-// which sees a slow build sooner and hides no single product.
+// gates compares the builds product by product, and all products at once by latency over the product's
+// usual one, which sees a slow build sooner and hides no single product.
 func (a *Agent) gates() (earned bool, worse string) {
 	var neu, old []outcome
 	for p := range a.products {
@@ -791,9 +611,9 @@
 	return earned || e, worse
 }
 
-// heat is the whole fleet's latency of late over what it was before the build came: the before/after that stands in
-// for a comparison where a build slows old and new alike. 0 where too little is seen, or where more is asked of the
-// agent than before, for then the cause is known. Cold machines are left out.
+// heat is the whole fleet's latency of late over what it was before the build came: the before/after that
+// stands in for a comparison where a build slows old and new alike. 0 where too little is seen, or where
+// more is asked of the agent than before, for then the cause is known. Cold machines are left out.
 func (a *Agent) heat() float64 {
 	if a.demand > demandMore*a.before.demand {
 		return 0
@@ -804,34 +624,10 @@
 	return 0
 }
 
-// typical is a low latency of a machine of the faster part, over the usual of each product: low, since queues touch
-// it least, and of the faster part, so that trouble of some machines does not pass for trouble of all.
-func (a *Agent) typical(evidence [2][][]outcome, span float64) float64 {
-	by := make([][]float64, len(a.id))
-	for _, arm := range evidence {
-		for p, e := range arm {
-			for k := len(e) - 1; k >= 0 && e[k].at > a.now-span && a.before.usual[p] > 0; k-- {
-				if e[k].steady {
-					by[e[k].app] = append(by[e[k].app], e[k].lat/a.before.usual[p])
-				}
-			}
-		}
-	}
-	var each []float64
-	for _, lat := range by {
-		if len(lat) >= fewestEach {
-			each = append(each, quantile(0.3, lat))
-		}
-	}
-	if len(each) < fewestEach {
-		return 0
-	}
-	return quantile(0.3, each)
-}
-
-// burning follows the heat. What began before the build had a share worth the name, or well after its release, is
-// not its doing and is passed over until it ends. Heat holds 'on' back, and earns 'back' once it has outlasted
-// most outside trouble. It may hurt a good build that comes with a long slowness from outside.
+// burning follows the heat. What began before the build had a share worth the name, or well after its
+// release, is not its doing and is passed over until it ends. Heat holds 'on' back, and earns 'back' once
+// it has outlasted most outside trouble. It may hurt a good build that comes with a long slowness from
+// outside.
 func (a *Agent) burning() (hot, long bool) {
 	h := a.heat()
 	switch {
@@ -844,23 +640,6 @@
 	return hot, hot && a.now >= a.hotSince+hotLong
 }
 
-// slower tells that the newest build's machines look slower of late than the others, warm or not. It is no
-// verdict: a cold machine looks the same. It only makes 'on' wait until the told warm-up has passed.
-func (a *Agent) slower() bool {
-	var sum, n [2]float64
-	for i, r := range a.recent {
-		if a.state[i] != Running || len(r) < suspectLeast {
-			continue
-		}
-		arm := 0
-		if a.builds[i] >= a.newest {
-			arm = 1
-		}
-		sum[arm], n[arm] = sum[arm]+stat.Mean(r, nil), n[arm]+1
-	}
-	return n[0] > 0 && n[1] > 0 && sum[1]/n[1] > suspectAt*sum[0]/n[0]
-}
-
 // compare is gates two and three for one product.
 func compare(neu, old []outcome, alike bool) (earned bool, worse string) {
 	if failing(neu, old) {
@@ -898,11 +677,12 @@
 			return earned, ""
 		}
 	}
-	if !alike || !paired || !agree(nl) || !agree(ol) {
+	if !alike || !paired || !agree(nl, farMore) || !agree(ol, farMore) {
 		return earned, ""
 	}
 	all, slow := lat(old), 0
-	room := 2 * spread(old, leastEach, fewestEach, func(o outcome) (float64, bool) { return o.lat, o.steady }) / math.Sqrt(machines(neu))
+	steady := func(o outcome) (float64, bool) { return o.lat, o.steady }
+	room := 2 * spread(old, leastEach, fewestEach, steady) / math.Sqrt(machines(neu))
 	for _, q := range []float64{0.5, 0.75, 0.9} {
 		var d []float64
 		for k := range nl {
@@ -922,7 +702,8 @@
 	return false, worse
 }
 
-// failing is the interval on a failure share: a posterior, for it also speaks below the least sample and at no failures.
+// failing is the interval on a failure share: a posterior, for it also speaks below the least sample and at
+// no failures.
 func failing(neu, old []outcome) bool {
 	f := fails(neu)
 	if f < 3 {
@@ -942,24 +723,6 @@
 	return 1-distuv.Beta{Alpha: float64(f) + 0.5, Beta: float64(len(neu)-f) + 1}.CDF(edge) > sureBack
 }
 
-// agree is gate two for latency: the distance between slices against that between halves of one.
-func agree(s [][]float64) bool {
-	var between, within float64
-	n := 0.0
-	for i := range s {
-		var h [2][]float64
-		for k, v := range s[i] {
-			h[k%2] = append(h[k%2], v)
-		}
-		within += distance(h[0], h[1]) / float64(len(s))
-		for j := range i {
-			between += distance(s[i], s[j])
-			n++
-		}
-	}
-	return between/n <= farMore*within
-}
-
 func (a *Agent) voteDue() bool {
 	if a.pending || a.now < a.voteAt || a.want == None {
 		return false
@@ -973,22 +736,3 @@
 	a.port.Vote(a.newest, a.want, a.stage)
 	a.port.Log(fmt.Sprintf("vote %d on build %d stage %d %s", a.want, a.newest, a.stage, a.reason))
 }
-
-// ReportedWrong corrects the agent's own outcome.
-func (a *Agent) ReportedWrong(now float64, app string, product int, age float64) {
-	a.now = now
-	i, ok := a.index[app]
-	if !ok {
-		return
-	}
-	a.note(i, false)
-	for arm := range a.evidence {
-		e := a.evidence[arm][product]
-		for k := len(e) - 1; k >= 0; k-- {
-			if e[k].app == i && !e[k].bad && math.Abs(e[k].at-e[k].lat-(now-age)) < 1 {
-				e[k].bad = true
-				return
-			}
-		}
-	}
-}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,22 +1,11 @@
 package policy
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
-// mwc is a lag-1 multiply-with-carry generator.
-type mwc struct{ x, c uint64 }
-
-func (g *mwc) next() uint64 {
-	t := 4294957665*g.x + g.c
-	g.x, g.c = t&0xffffffff, t>>32
-	return g.x
-}
-
-func (g *mwc) Uint64() uint64 { return g.next()<<32 | g.next() }
-
 // submission is one try of a txn at an appliance.
 type submission struct {
 	app, build int
@@ -39,24 +28,6 @@
 	took      bool // a stream has begun: no expiry holds any more
 }
 
-type alarm struct {
-	at float64
-	t  *txn
-}
-
-type alarms []alarm
-
-func (h alarms) Len() int           { return len(h) }
-func (h alarms) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h alarms) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *alarms) Push(x any)        { *h = append(*h, x.(alarm)) }
-func (h *alarms) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
 // outcome is one submission's end as evidence on a build.
 type outcome struct {
 	at, lat float64
@@ -79,7 +50,8 @@
 	rel                         []float64 // latency against the product's usual
 	level, levelAt              []float64 // cold budget
 	recent                      [][]float64
-	asked, subscribed, failed   bool
+	asked, subscribed           bool
+	failures                    float64 // of list calls in a row
 	grace, within, askAt        float64
 }
 
@@ -201,14 +173,6 @@
 
 func (a *Agent) Tenants(quotas []float64, overWorth float64) {}
 
-func (a *Agent) look(at float64, t *txn) { heap.Push(&a.alarms, alarm{at, t}) }
-
-func (a *Agent) arm() {
-	a.token++
-	a.armed = a.alarms[0].at
-	a.port.Timer(max(a.armed-a.now, 0.001), a.token)
-}
-
 // List takes entries as the list shows them; whole lists drop what they no longer name.
 func (a *Agent) List(now float64, entries []Listed, whole, old bool) {
 	a.now = now
@@ -237,6 +201,9 @@
 		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
 		a.state[i], a.rating[i], a.start[i] = e.State, max(e.Rating, 0.01), e.Start
 	}
+	if !old {
+		a.failures = 0
+	}
 	a.settle()
 }
 
@@ -259,6 +226,13 @@
 	return b
 }
 
+// ListFailed tells that a list call failed or the subscription broke.
+func (a *Agent) ListFailed(now float64) {
+	a.now = now
+	a.retryList()
+	a.settle()
+}
+
 // Began: the stream belongs to the client now; no expiry holds.
 func (a *Agent) Began(now float64, id string, sub int) {
 	a.now = now
@@ -281,5 +255,229 @@
 	a.settle()
 }
 
-// Counted are the platform's own figures; the vote's evidence is the agent's own outcomes, so they decide nothing.
+// Counted are the platform's own figures; the vote's evidence is the agent's own outcomes, so they decide
+// nothing.
 func (a *Agent) Counted(now float64, build, product, many, bad int, took float64) { a.now = now }
+
+// drop calls off what is still out for an ended txn and forgets it once nothing is.
+func (a *Agent) drop(t *txn) {
+	t.ended = true
+	if t.out == 0 {
+		delete(a.txns, t.id)
+		return
+	}
+	for k := range t.subs {
+		if s := &t.subs[k]; s.out && a.revoke && !s.late {
+			s.late = true
+			a.port.Revoke(t.id, k)
+		}
+	}
+}
+
+func (a *Agent) note(i int, good bool) {
+	f := math.Exp(-(a.now - a.seenAt[i]) / doubtTime)
+	a.good[i], a.poor[i], a.seenAt[i] = a.good[i]*f, a.poor[i]*f, a.now
+	if good {
+		a.good[i]++
+	} else {
+		a.poor[i]++
+	}
+}
+
+// Hangup: the client has gone; an id no longer held is passed over.
+func (a *Agent) Hangup(now float64, id string) {
+	a.now = now
+	if t := a.txns[id]; t != nil && !t.ended {
+		a.drop(t)
+	}
+	a.settle()
+}
+
+// learn keeps the usual latencies and the load that warm appliances bear.
+func (a *Agent) learn(i int, t *txn, took float64) {
+	u := &a.usual[t.product]
+	if *u == 0 {
+		*u = took
+	}
+	*u += usualStep * (took - *u)
+	if a.meanMs == 0 {
+		a.meanMs = took
+	}
+	a.meanMs += usualStep * (took - a.meanMs)
+	a.rel[i] += relStep * (min(took/max(*u, 1), relMost) - a.rel[i])
+	warm := 0.0
+	for k := range a.id {
+		if a.state[k] == Running && a.coldness(k) >= 1 {
+			warm += a.rating[k]
+		}
+	}
+	if warm > 0 && a.coldness(i) >= 1 {
+		if a.paceAt > 0 {
+			dt := a.now - a.paceAt
+			a.pace, a.paceAge = a.pace*math.Exp(-dt/paceTime), a.paceAge+dt
+		}
+		a.pace, a.paceAt = a.pace+t.work/warm, a.now
+	}
+}
+
+// offered turns the page: what a released build has shown becomes the earlier build's record.
+func (a *Agent) offered(build int) {
+	was := [2][][]outcome{slices.Clone(a.evidence[0]), slices.Clone(a.evidence[1])}
+	if a.known && a.phase == Released {
+		a.evidence[0], a.evidence[1] = a.evidence[1], a.evidence[0]
+	}
+	for p := range a.evidence[1] {
+		a.evidence[1][p] = nil
+	}
+	a.places, a.placed = 0, 0
+	for i := range a.id {
+		if a.state[i] == Running && a.builds[i] < build {
+			a.places++
+			a.placed += a.rating[i]
+		}
+	}
+	a.begun, a.want, a.stands, a.stage, a.hotSince = 0, None, None, -1, math.Inf(1)
+	a.before.demand = a.demand
+	for p := range a.before.usual {
+		var lat []float64
+		for _, arm := range was {
+			for _, o := range arm[p] {
+				if o.steady && o.at > a.now-beforeTime {
+					lat = append(lat, o.lat)
+				}
+			}
+		}
+		a.before.usual[p] = 0
+		if len(lat) >= leastSample {
+			a.before.usual[p] = quantile(lowPart, lat)
+		}
+	}
+	a.before.typical = a.typical(was, beforeTime)
+	a.judgeAt = a.now
+}
+
+// witness files a submission's end as evidence.
+func (a *Agent) witness(s *submission, t *txn, bad bool, took float64) {
+	arm := 0
+	if s.build >= a.newest {
+		arm = 1
+	}
+	o := outcome{at: a.now, lat: took / t.work, bad: bad, app: s.app}
+	o.rel = o.lat / max(a.usual[t.product], 1)
+	o.steady = !o.bad && a.steady(s.app, o.rel)
+	e := append(a.evidence[arm][t.product], o)
+	if len(e) > 2*keep {
+		e = slices.Clone(e[len(e)-keep:])
+	}
+	a.evidence[arm][t.product] = e
+}
+
+// typical is a low latency of a machine of the faster part, over the usual of each product: low, since
+// queues touch it least, and of the faster part, so that trouble of some machines does not pass for trouble
+// of all.
+func (a *Agent) typical(evidence [2][][]outcome, span float64) float64 {
+	by := make([][]float64, len(a.id))
+	for _, arm := range evidence {
+		for p, e := range arm {
+			for k := len(e) - 1; k >= 0 && e[k].at > a.now-span && a.before.usual[p] > 0; k-- {
+				if e[k].steady {
+					by[e[k].app] = append(by[e[k].app], e[k].lat/a.before.usual[p])
+				}
+			}
+		}
+	}
+	var each []float64
+	for _, lat := range by {
+		if len(lat) >= fewestEach {
+			each = append(each, quantile(lowPart, lat))
+		}
+	}
+	if len(each) < fewestEach {
+		return 0
+	}
+	return quantile(lowPart, each)
+}
+
+// ReportedWrong corrects the agent's own outcome.
+func (a *Agent) ReportedWrong(now float64, app string, product int, age float64) {
+	a.now = now
+	i, ok := a.index[app]
+	if !ok {
+		return
+	}
+	a.note(i, false)
+	for arm := range a.evidence {
+		e := a.evidence[arm][product]
+		for k := len(e) - 1; k >= 0; k-- {
+			if e[k].app == i && !e[k].bad && math.Abs(e[k].at-e[k].lat-(now-age)) < 1 {
+				e[k].bad = true
+				return
+			}
+		}
+	}
+}
+
+// Txn takes a txn; left is the time of this try, hint its told cost.
+func (a *Agent) Txn(now float64, id, key string, product, tenant int, again bool, left, hint float64) {
+	a.now = now
+	t := &txn{id: id, key: key, product: product, came: now, expiry: now + left, work: 1}
+	if hint > 0 {
+		if a.workMean == 0 {
+			a.workMean = hint
+		}
+		a.workMean += usualStep * (hint - a.workMean)
+		t.work = hint / a.workMean
+	}
+	a.taken++
+	a.sightings[key]++
+	a.demand *= math.Exp(-(now - a.demandAt) / heatTime)
+	a.demandAt = now
+	if !again {
+		a.demand++
+	}
+	a.txns[id] = t
+	a.admit(t, again, left, hint)
+	a.settle()
+}
+
+// Outcome ends one submission; one that is not held is passed over.
+func (a *Agent) Outcome(now float64, id string, sub int, r Result, final bool, took, waiting, busy float64) {
+	a.now = now
+	if t := a.txns[id]; t != nil && sub >= 0 && sub < len(t.subs) && t.subs[sub].out {
+		s := &t.subs[sub]
+		s.out, s.unrun = false, r == Rejected || r == Unconnected || r == Moot
+		t.out--
+		t.ended = t.ended || final
+		a.open[s.app]--
+		a.recallAt = now
+		a.ended(t, s, r, took)
+	}
+	a.settle()
+}
+
+// News tells where the newest build stands; reply is set when it answers a vote, and told when the rest is
+// true.
+func (a *Agent) News(now float64, build, stage int, phase Phase, reply Reply, limit, age float64, told bool) {
+	a.now = now
+	if reply != Unasked && a.pending {
+		a.answered(reply)
+	}
+	if reply == Unasked || told {
+		if !a.known || build != a.newest {
+			a.offered(build)
+		}
+		if stage != a.stage || phase != a.phase {
+			a.phaseAt = now - age
+			a.begun, a.want = 0, None // what was seen of one stage carries no vote on the next
+		}
+		if phase == GoingBack || phase == Withdrawn {
+			for k, b := range a.ties {
+				if b == build {
+					delete(a.ties, k)
+				}
+			}
+		}
+		a.known, a.newest, a.stage, a.phase, a.cap = true, build, stage, phase, limit
+	}
+	a.settle()
+}
--- a/policy/stats.go
+++ b/policy/stats.go
@@ -34,7 +34,8 @@
 	return m - h, m + h
 }
 
-// slice cuts by count, or by the times at which by is cut, so that what befalls both arms falls out of the difference.
+// slice cuts by count, or by the times at which by is cut, so that what befalls both arms falls out of the
+// difference.
 func slice(s, by []outcome, cut, least int) (out [][]outcome, paired bool) {
 	if by == nil {
 		for k := 0; k < cut; k++ {
@@ -107,3 +108,21 @@
 	slices.Sort(x)
 	return stat.Quantile(q, stat.Empirical, x, nil)
 }
+
+// agree is gate two for latency: the distance between slices against that between halves of one.
+func agree(s [][]float64, farMore float64) bool {
+	var between, within float64
+	n := 0.0
+	for i := range s {
+		var h [2][]float64
+		for k, v := range s[i] {
+			h[k%2] = append(h[k%2], v)
+		}
+		within += distance(h[0], h[1]) / float64(len(s))
+		for j := range i {
+			between += distance(s[i], s[j])
+			n++
+		}
+	}
+	return between/n <= farMore*within
+}
