--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,9 @@
 package policy
 
-// How to call: New, then each part's own call (Serve, Advise, Zone, Watch, Warm, Expose, Judge, Tenants)
-// with its few settings, then one call for each event with the time it came at. Every call ends by going
-// through the ordered rules below until none fires; they act through Port (port.go). Time and seed come
-// only from outside.
+// How to call: New, then each part's own call (Serve, Advise, Zone, Watch, Warm, Expose, Judge, Tenants) with
+// its few settings, then one call for each event with the time it came at. Every call ends by going through
+// the ordered rules below until none fires; they act through Port (port.go). Time and seed come only from
+// outside.
 
 import (
 	"cmp"
@@ -18,19 +18,20 @@
 
 // The design's figures, and those it leaves open.
 const (
-	zoneLatency = 0.10 // per latency percentile
-	zoneSingle  = 0.05 // for single figures
-	agreeCV     = 0.15 // gate two's bound on slices
-	farMore     = 2.0  // slices differ so many times more than halves of one: they do not agree
-	floorOn     = 3000 // no 'on' sooner after the stage's listed start times
-	wait        = 4000 // short of outcomes, 'on' comes after this barring a regression
-	cut         = 5    // slices
-	leastSample = 20   // outcomes by build and product
-	onLevel     = 2.13 // Student's t, four degrees: 90%
-	backLevel   = 5.60 // the same at 99.5%: the agent looks often, and one vote may undo a good build
-	percentiles = 2    // that must be wholly slower: one of many looked at so often is by chance
-	sureBack    = 0.99 // posterior mass beyond the zone that a failure share needs
-	alone       = 2000 // where one vote decides, those who saw little leave it so long to the others
+	zoneLatency = 0.10  // per latency percentile
+	zoneSingle  = 0.05  // for single figures
+	agreeCV     = 0.15  // gate two's bound on slices
+	farMore     = 2.0   // slices differ so many times more than halves of one: they do not agree
+	floorOn     = 3000  // no 'on' sooner after the stage's listed start times
+	wait        = 4000  // short of outcomes, 'on' comes after this barring a regression
+	cut         = 5     // slices
+	leastSample = 20    // outcomes by build and product
+	onLevel     = 2.13  // Student's t, four degrees: 90%
+	backLevel   = 5.60  // the same at 99.5%: the agent looks often, and one vote may undo a good build
+	percentiles = 2     // that must be wholly slower: one of many looked at so often is by chance
+	sureBack    = 0.99  // posterior mass beyond the zone that a failure share needs
+	stalled     = 10000 // after which a stage is judged with the machines that are listed
+	alone       = 2000  // where one vote decides, those who saw little leave it so long to the others
 	heatTime    = 3000
 	hotAt       = 1.6 // times the latency before the build: hot
 	hotEnds     = 1.35
@@ -51,12 +52,13 @@
 	limitDown    = 4.0  // and fewer for each late one
 	limitBinds   = 0.6  // part of the limit from which it is taken to bind
 	limitFirst   = 4
-	limitLeast   = 2   // for all agents together
-	choices      = 6   // random appliances compared for a place: two see too little of 1 agent in 8
-	dearOnly     = 0.6 // part of the limit that is for any revenue
-	recallTries  = 4   // held txns in a row that find no place before the rest wait on
-	retryPause   = 25  // between looks for a place
-	endGuard     = 12  // the final answer leaves so long before the expiry
+	limitLeast   = 2    // for all agents together
+	purseTime    = 2000 // over which a tenant's share may be used unevenly
+	choices      = 6    // random appliances compared for a place: an agent sees but its own part of the load
+	dearOnly     = 0.6  // part of the limit that is for any revenue
+	recallTries  = 4    // held txns in a row that find no place before the rest wait on
+	retryPause   = 25   // between looks for a place
+	endGuard     = 12   // the final answer leaves so long before the expiry
 	judgePause   = 200
 	renewAt      = 0.7  // of a vote's life
 	renewSpread  = 0.2  // and up to this later, so that renewals scatter
@@ -188,8 +190,8 @@
 		return true
 	}
 	pace := a.pace / paceTime / max(1-math.Exp(-a.paceAge/paceTime), 0.05) * a.rating[i]
-	// One core at the least bears one txn per latency, shared by all agents: the floor where nothing warm
-	// is seen.
+	// One core at the least bears one txn per latency, shared by all agents: the floor where nothing warm is
+	// seen.
 	mean := a.meanMs
 	if mean == 0 {
 		mean = a.products[t.product].SLA
@@ -214,8 +216,7 @@
 	a.port.Submit(t.id, a.id[i], 0)
 }
 
-// end gives the one final answer: a decline where nothing can have run or a repeat does no harm, else a
-// void.
+// end gives the one final answer: a decline where nothing can have run or a repeat does no harm, else a void.
 func (a *Agent) end(t *txn) {
 	if t.ended {
 		return
@@ -236,19 +237,22 @@
 
 // ---- routing
 
-// admit sets a new txn's SLA time and counts it where the cap, the reserve for the dear and the heat need
-// it.
+// admit sets a new txn's SLA time and counts it where the cap, the reserve for the dear and the heat need it.
 func (a *Agent) admit(t *txn, again bool, left, hint float64) {
 	p := &a.products[t.product]
 	t.sla = t.came + p.SLA + p.Stretch*hint
-	// A repeat's SLA time began with the client's first try. What is left of the expiry tells when, once it
-	// is less than a first try gets.
+	// A repeat's SLA time began with the client's first try. What is left of the expiry tells when, once it is
+	// less than a first try gets.
 	a.longest[t.product] = max(a.longest[t.product], left)
 	if again && left < a.longest[t.product]-1 {
 		t.sla -= p.Expiry - left
 	}
 	t.sla = min(t.sla, t.expiry)
-	a.worth += (p.Revenue*t.work - a.worth) * max(usualStep, 1/a.taken)
+	t.revenue = p.Revenue * t.work
+	if t.tenant < len(a.quotas) && a.overQuota(t) {
+		t.revenue *= a.overWorth
+	}
+	a.worth += (t.revenue - a.worth) * max(usualStep, 1/a.taken)
 	for build, b := range a.allow { // each build's bucket by itself: the order does not matter
 		if limit, on := a.capOf(build); on {
 			b[a.lane(t.product)] = min(b[a.lane(t.product)]+limit, a.free)
@@ -258,17 +262,29 @@
 	a.look(t.expiry-endGuard, t)
 }
 
+// overQuota tells that a tenant asks for more than its share, of which an agent takes its part to be like
+// others'.
+func (a *Agent) overQuota(t *txn) bool {
+	rate := a.quotas[t.tenant] / float64(a.agents)
+	a.purse[t.tenant] = min(a.purse[t.tenant]+rate*(t.came-a.purseAt[t.tenant]), rate*purseTime) - 1
+	a.purseAt[t.tenant] = t.came
+	if a.purse[t.tenant] < 0 {
+		a.purse[t.tenant]++
+		return true
+	}
+	return false
+}
+
 // hopeless tells that an answer within the SLA time can no longer be had.
 func (a *Agent) hopeless(t *txn) bool {
 	return a.now+a.usual[t.product] >= t.sla && (a.products[t.product].Late == 0 || len(t.subs) == 0)
 }
 
-// room tells that the own open submissions, at the appliance and in all, are fewer than those lately
-// answered in time. The limits keep queues short where late work is not called off; the dear may use the
-// last of them.
+// room tells that the own open submissions, at the appliance and in all, are fewer than those lately answered
+// in time. The limits keep queues short where late work is not called off; the dear may use the last of them.
 func (a *Agent) room(t *txn, i int) bool {
 	part := 1.0
-	if a.products[t.product].Revenue*t.work < a.worth {
+	if t.revenue < a.worth {
 		part = dearOnly
 	}
 	open, limit := 0, 0.0
@@ -374,8 +390,7 @@
 	if limit >= capPart {
 		limit = 1
 	}
-	// Where the earlier machines stay, the last stage's get what their places would, at no more load a
-	// machine.
+	// Where the earlier machines stay, the last stage's get what their places would, at no more load a machine.
 	if a.last() {
 		all = min(all, a.placed)
 	}
@@ -386,7 +401,7 @@
 // latencies under unlike loads are not compared.
 func (a *Agent) last() bool { return a.stage == len(a.stages)-1 && a.placed > 0 }
 
-// pick chooses the arm, then of two random appliances in it the one with less to do.
+// pick chooses the arm, then of some random appliances in it the one with least to do for its size.
 func (a *Agent) pick(t *txn) int {
 	trial := a.draw(t) < a.share()
 	if trial && a.keysStay && a.cap < 1 && t.key != "" && a.ties[t.key] == 0 &&
@@ -405,8 +420,8 @@
 	return a.pickIn(t, !trial)
 }
 
-// draw is a txn's place in [0,1): by key where keys stay with a build, so that the trial's keys are the
-// same ones.
+// draw is a txn's place in [0,1): by key where keys stay with a build, so that the trial's keys are the same
+// ones.
 func (a *Agent) draw(t *txn) float64 {
 	if !a.keysStay || t.key == "" {
 		return a.rnd.Float64()
@@ -438,21 +453,18 @@
 		i := open[k]
 		open[k] = open[len(open)-1]
 		open = open[:len(open)-1]
-		if best >= 0 && a.doubted(i) || best < 0 && len(open) > 0 && a.doubted(i) {
+		if (best >= 0 || len(open) > 0) && a.doubted(i) {
 			continue
 		}
 		n++
-		if load := a.load(i); load < bestLoad {
+		load := (float64(a.open[i]) + 1) / (a.rating[i] * a.coldness(i)) * a.rel[i]
+		if load < bestLoad {
 			best, bestLoad = i, load
 		}
 	}
 	return best
 }
 
-func (a *Agent) load(i int) float64 {
-	return (float64(a.open[i]) + 1) / (a.rating[i] * a.coldness(i)) * a.rel[i]
-}
-
 // doubted draws the appliance's chance of an answer in time from its posterior and holds it against the
 // fleet's.
 func (a *Agent) doubted(i int) bool {
@@ -513,8 +525,8 @@
 	a.look(a.voteAt, nil)
 }
 
-// steady is gate one's check of a machine: halves of its recent outcomes agree, or it is past its told
-// warm-up.
+// steady is gate one's check of a machine: halves of its recent outcomes agree, or it is past its told warm-
+// up.
 func (a *Agent) steady(i int, rel float64) bool {
 	a.recent[i] = append(a.recent[i], rel)
 	if len(a.recent[i]) > steadyLeast {
@@ -551,11 +563,12 @@
 			a.lastStart = max(a.lastStart, a.start[i])
 		}
 	}
-	if a.begun == 0 && a.stage >= 0 && a.stage < len(a.stages) && neu > 0 &&
-		float64(neu) >= math.Round(a.stages[a.stage]*float64(a.places)) {
-		a.begun = a.now
+	if a.stage < 0 || a.stage >= len(a.stages) || neu == 0 {
+		return
 	}
-	if a.begun == 0 {
+	// Rounded up; a platform that rounds otherwise is followed after a while.
+	a.begun = a.begun || float64(neu) > a.stages[a.stage]*float64(a.places)-0.01
+	if !a.begun && a.now < a.phaseAt+stalled {
 		return
 	}
 	hot, long := a.burning()
@@ -567,29 +580,25 @@
 		a.want = Back
 		return
 	}
-	// An inconclusive comparison blocks nothing: with the least sample seen the floor alone is waited for.
-	ready := a.lastStart + wait
 	seen := 0
 	for _, e := range a.evidence[1] {
 		seen += len(e)
 	}
-	if seen >= leastSample {
-		ready = a.lastStart + floorOn
-	} else if a.control == Single {
-		ready += alone
-	}
-	if !earned {
-		ready = max(ready, a.phaseAt+floorOn)
-	} else {
-		ready = max(a.lastStart, a.phaseAt) + floorOn
+	// An inconclusive comparison blocks nothing: with the least sample seen the floor alone is waited for.
+	ready := max(a.lastStart, a.phaseAt) + floorOn
+	if seen < leastSample && !earned {
+		ready = max(ready, a.lastStart+wait)
+		if a.control == Single {
+			ready += alone
+		}
 	}
 	if a.phase == OnTrial && a.control != Clocked && a.now >= ready && !hot {
 		a.want = On
 	}
 }
 
-// gates compares the builds product by product, and all products at once by latency over the product's
-// usual one, which sees a slow build sooner and hides no single product.
+// gates compares the builds product by product, and all products at once by latency over the product's usual
+// one, which sees a slow build sooner and hides no single product.
 func (a *Agent) gates() (earned bool, worse string) {
 	var neu, old []outcome
 	for p := range a.products {
@@ -612,8 +621,8 @@
 }
 
 // heat is the whole fleet's latency of late over what it was before the build came: the before/after that
-// stands in for a comparison where a build slows old and new alike. 0 where too little is seen, or where
-// more is asked of the agent than before, for then the cause is known. Cold machines are left out.
+// stands in for a comparison where a build slows old and new alike. 0 where too little is seen, or where more
+// is asked of the agent than before, for then the cause is known. Cold machines are left out.
 func (a *Agent) heat() float64 {
 	if a.demand > demandMore*a.before.demand {
 		return 0
@@ -625,9 +634,8 @@
 }
 
 // burning follows the heat. What began before the build had a share worth the name, or well after its
-// release, is not its doing and is passed over until it ends. Heat holds 'on' back, and earns 'back' once
-// it has outlasted most outside trouble. It may hurt a good build that comes with a long slowness from
-// outside.
+// release, is not its doing and is passed over until it ends. Heat holds 'on' back, and earns 'back' once it
+// has outlasted most outside trouble. It may hurt a good build that comes with a long slowness from outside.
 func (a *Agent) burning() (hot, long bool) {
 	h := a.heat()
 	switch {
--- a/policy/state.go
+++ b/policy/state.go
@@ -20,6 +20,8 @@
 	product   int
 	came, sla float64
 	expiry    float64
+	tenant    int
+	revenue   float64
 	work      float64 // told cost, 1 where none is told
 	subs      []submission
 	out       int
@@ -62,7 +64,7 @@
 	known         bool
 	places        int     // running appliances when the newest build was first heard of
 	placed        float64 // and their rating
-	begun         float64 // when this stage's window began; 0: not yet
+	begun         bool    // this stage's window has begun
 	lastStart     float64
 	evidence      [2][][]outcome // earlier and newest build, by product
 	judgeAt       float64
@@ -114,27 +116,30 @@
 
 	fleet
 	trial
-	txns             map[string]*txn
-	todo             []*txn
-	held             []*txn // waiting for a place, oldest first
-	recallAt         float64
-	alarms           alarms
-	armed            float64
-	token            uint64
-	usual            []float64 // mean latency by product
-	pace, paceAt     float64
-	paceAge          float64
-	demand, demandAt float64 // first tries of late
-	meanMs           float64
-	worth            float64   // mean revenue
-	longest          []float64 // by product: the longest time of a try
-	workMean         float64
+	txns                   map[string]*txn
+	todo                   []*txn
+	held                   []*txn // waiting for a place, oldest first
+	recallAt               float64
+	alarms                 alarms
+	armed                  float64
+	token                  uint64
+	usual                  []float64 // mean latency by product
+	pace, paceAt           float64
+	paceAge                float64
+	demand, demandAt       float64 // first tries of late
+	meanMs                 float64
+	quotas, purse, purseAt []float64 // by tenant
+	overWorth              float64
+	worth                  float64   // mean revenue
+	longest                []float64 // by product: the longest time of a try
+	workMean               float64
 }
 
 // New makes an agent; seed starts its generator.
 func New(port Port, seed uint64, me, agents int) *Agent {
 	g := &mwc{x: seed&0xffffffff | 1, c: seed >> 32 % 4294957664}
-	a := &Agent{port: port, rnd: rand.New(g), agents: max(agents, 1), txns: map[string]*txn{}, armed: math.Inf(1), recallAt: math.Inf(1)}
+	a := &Agent{port: port, rnd: rand.New(g), agents: max(agents, 1), txns: map[string]*txn{}}
+	a.armed, a.recallAt = math.Inf(1), math.Inf(1)
 	a.salt = g.Uint64()
 	a.allow, a.ties, a.sightings = map[int][]float64{}, map[string]int{}, map[string]float64{}
 	a.index = map[string]int{}
@@ -171,7 +176,11 @@
 	a.stages, a.control, a.life = stages, control, life
 }
 
-func (a *Agent) Tenants(quotas []float64, overWorth float64) {}
+// Tenants: quotas are txns per millisecond, by all agents together.
+func (a *Agent) Tenants(quotas []float64, overWorth float64) {
+	a.quotas, a.overWorth = quotas, overWorth
+	a.purse, a.purseAt = make([]float64, len(quotas)), make([]float64, len(quotas))
+}
 
 // List takes entries as the list shows them; whole lists drop what they no longer name.
 func (a *Agent) List(now float64, entries []Listed, whole, old bool) {
@@ -192,7 +201,8 @@
 			a.state, a.rating, a.start = append(a.state, Gone), append(a.rating, 1), append(a.start, -1)
 			a.open, a.good, a.poor = append(a.open, 0), append(a.good, 0), append(a.poor, 0)
 			a.seenAt, a.rel, a.recent = append(a.seenAt, 0), append(a.rel, 1), append(a.recent, nil)
-			a.level, a.levelAt, a.limit = append(a.level, 0), append(a.levelAt, now), append(a.limit, limitFirst)
+			a.level, a.levelAt = append(a.level, 0), append(a.levelAt, now)
+			a.limit = append(a.limit, limitFirst)
 		}
 		if a.start[i] != e.Start || a.builds[i] != e.Build {
 			// A re-used id or a restart: nothing learned of the former process holds, and it is cold.
@@ -329,6 +339,13 @@
 	for p := range a.evidence[1] {
 		a.evidence[1][p] = nil
 	}
+	// Keys seen long ago are forgotten: popularity is of late, and the record must not grow for ever.
+	for k, n := range a.sightings {
+		if a.sightings[k] = n / 2; n < 2 {
+			delete(a.sightings, k)
+		}
+	}
+	a.taken /= 2
 	a.places, a.placed = 0, 0
 	for i := range a.id {
 		if a.state[i] == Running && a.builds[i] < build {
@@ -336,7 +353,7 @@
 			a.placed += a.rating[i]
 		}
 	}
-	a.begun, a.want, a.stands, a.stage, a.hotSince = 0, None, None, -1, math.Inf(1)
+	a.begun, a.want, a.stands, a.stage, a.hotSince = false, None, None, -1, math.Inf(1)
 	a.before.demand = a.demand
 	for p := range a.before.usual {
 		var lat []float64
@@ -372,9 +389,8 @@
 	a.evidence[arm][t.product] = e
 }
 
-// typical is a low latency of a machine of the faster part, over the usual of each product: low, since
-// queues touch it least, and of the faster part, so that trouble of some machines does not pass for trouble
-// of all.
+// typical is a low latency of a machine of the faster part, over the usual of each product: low, since queues
+// touch it least, and of the faster part, so that trouble of some machines does not pass for trouble of all.
 func (a *Agent) typical(evidence [2][][]outcome, span float64) float64 {
 	by := make([][]float64, len(a.id))
 	for _, arm := range evidence {
@@ -420,7 +436,7 @@
 // Txn takes a txn; left is the time of this try, hint its told cost.
 func (a *Agent) Txn(now float64, id, key string, product, tenant int, again bool, left, hint float64) {
 	a.now = now
-	t := &txn{id: id, key: key, product: product, came: now, expiry: now + left, work: 1}
+	t := &txn{id: id, key: key, product: product, tenant: tenant, came: now, expiry: now + left, work: 1}
 	if hint > 0 {
 		if a.workMean == 0 {
 			a.workMean = hint
@@ -429,7 +445,9 @@
 		t.work = hint / a.workMean
 	}
 	a.taken++
-	a.sightings[key]++
+	if a.keysStay && key != "" {
+		a.sightings[key]++
+	}
 	a.demand *= math.Exp(-(now - a.demandAt) / heatTime)
 	a.demandAt = now
 	if !again {
@@ -468,7 +486,7 @@
 		}
 		if stage != a.stage || phase != a.phase {
 			a.phaseAt = now - age
-			a.begun, a.want = 0, None // what was seen of one stage carries no vote on the next
+			a.begun, a.want = false, None // what was seen of one stage carries no vote on the next
 		}
 		if phase == GoingBack || phase == Withdrawn {
 			for k, b := range a.ties {
