--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,6 +54,7 @@
 	limitFirst   = 4
 	limitLeast   = 2    // for all agents together
 	purseTime    = 2000 // over which a tenant's share may be used unevenly
+	crossZone    = 1.5  // times the load it has: an appliance in another zone, where crossing is priced
 	choices      = 6    // random appliances compared for a place: an agent sees but its own part of the load
 	dearOnly     = 0.6  // part of the limit that is for any revenue
 	recallTries  = 4    // held txns in a row that find no place before the rest wait on
@@ -112,14 +113,6 @@
 	a.look(a.askAt, nil)
 }
 
-// coldness is the part of its capacity that an appliance has at the least.
-func (a *Agent) coldness(i int) float64 {
-	if a.start[i] <= 0 || a.warmTime <= 0 || a.now-a.start[i] >= a.warmTime {
-		return 1
-	}
-	return a.coldFrom + (1-a.coldFrom)*max(a.now-a.start[i], 0)/a.warmTime
-}
-
 // ---- guards: every submission passes mayGo and send, every final answer passes end
 
 // capOf is the cap on a build, and whether the build is on trial at all.
@@ -262,19 +255,6 @@
 	a.look(t.expiry-endGuard, t)
 }
 
-// overQuota tells that a tenant asks for more than its share, of which an agent takes its part to be like
-// others'.
-func (a *Agent) overQuota(t *txn) bool {
-	rate := a.quotas[t.tenant] / float64(a.agents)
-	a.purse[t.tenant] = min(a.purse[t.tenant]+rate*(t.came-a.purseAt[t.tenant]), rate*purseTime) - 1
-	a.purseAt[t.tenant] = t.came
-	if a.purse[t.tenant] < 0 {
-		a.purse[t.tenant]++
-		return true
-	}
-	return false
-}
-
 // hopeless tells that an answer within the SLA time can no longer be had.
 func (a *Agent) hopeless(t *txn) bool {
 	return a.now+a.usual[t.product] >= t.sla && (a.products[t.product].Late == 0 || len(t.subs) == 0)
@@ -458,6 +438,9 @@
 		}
 		n++
 		load := (float64(a.open[i]) + 1) / (a.rating[i] * a.coldness(i)) * a.rel[i]
+		if a.zonePriced && a.zones[i] != a.home {
+			load *= crossZone
+		}
 		if load < bestLoad {
 			best, bestLoad = i, load
 		}
@@ -668,19 +651,9 @@
 		lo, hi := interval(ds, onLevel, noise)
 		earned = lo > -zoneSingle && hi < zoneSingle || lo > zoneSingle
 	}
-	lat := func(s []outcome) []float64 {
-		var out []float64
-		for _, o := range s {
-			if o.steady {
-				out = append(out, o.lat)
-			}
-		}
-		slices.Sort(out)
-		return out
-	}
 	var nl, ol [][]float64
 	for k := range ns {
-		nl, ol = append(nl, lat(ns[k])), append(ol, lat(os[k]))
+		nl, ol = append(nl, latencies(ns[k])), append(ol, latencies(os[k]))
 		if len(nl[k]) < leastSample/cut || len(ol[k]) < leastSample/cut {
 			return earned, ""
 		}
@@ -688,9 +661,8 @@
 	if !alike || !paired || !agree(nl, farMore) || !agree(ol, farMore) {
 		return earned, ""
 	}
-	all, slow := lat(old), 0
-	steady := func(o outcome) (float64, bool) { return o.lat, o.steady }
-	room := 2 * spread(old, leastEach, fewestEach, steady) / math.Sqrt(machines(neu))
+	all, slow := latencies(old), 0
+	room := 2 * spread(old, leastEach, fewestEach, outcome.latency) / math.Sqrt(machines(neu))
 	for _, q := range []float64{0.5, 0.75, 0.9} {
 		var d []float64
 		for k := range nl {
@@ -718,13 +690,7 @@
 		return false
 	}
 	base := (float64(fails(old)) + 0.1) / (float64(len(old)) + 1)
-	bad := func(o outcome) (float64, bool) {
-		if o.bad {
-			return 1, true
-		}
-		return 0, true
-	}
-	edge := base + zoneSingle + 2*spread(old, leastEach, fewestEach, bad)/math.Sqrt(machines(neu))
+	edge := base + zoneSingle + 2*spread(old, leastEach, fewestEach, outcome.failed)/math.Sqrt(machines(neu))
 	if edge >= 1 {
 		return false
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -96,7 +96,7 @@
 	maxSubs        int
 	copies, revoke bool
 	maxWait        float64
-	zone           int
+	home           int // the agent's zone
 	zonePriced     bool
 
 	coldFrom, warmTime, multiple, fall float64
@@ -158,7 +158,7 @@
 
 func (a *Agent) Advise(maxWait float64) { a.maxWait = maxWait }
 
-func (a *Agent) Zone(zone int, priced bool) { a.zone, a.zonePriced = zone, priced }
+func (a *Agent) Zone(zone int, priced bool) { a.home, a.zonePriced = zone, priced }
 
 func (a *Agent) Watch(asked bool, grace, within float64) {
 	a.asked, a.grace, a.within = asked, grace, within
@@ -499,3 +499,24 @@
 	}
 	a.settle()
 }
+
+// overQuota tells that a tenant asks for more than its share, of which an agent takes its part to be like
+// others'.
+func (a *Agent) overQuota(t *txn) bool {
+	rate := a.quotas[t.tenant] / float64(a.agents)
+	a.purse[t.tenant] = min(a.purse[t.tenant]+rate*(t.came-a.purseAt[t.tenant]), rate*purseTime) - 1
+	a.purseAt[t.tenant] = t.came
+	if a.purse[t.tenant] < 0 {
+		a.purse[t.tenant]++
+		return true
+	}
+	return false
+}
+
+// coldness is the part of its capacity that an appliance has at the least.
+func (a *Agent) coldness(i int) float64 {
+	if a.start[i] <= 0 || a.warmTime <= 0 || a.now-a.start[i] >= a.warmTime {
+		return 1
+	}
+	return a.coldFrom + (1-a.coldFrom)*max(a.now-a.start[i], 0)/a.warmTime
+}
--- a/policy/stats.go
+++ b/policy/stats.go
@@ -126,3 +126,24 @@
 	}
 	return between/n <= farMore*within
 }
+
+func (o outcome) latency() (float64, bool) { return o.lat, o.steady }
+
+func (o outcome) failed() (float64, bool) {
+	if o.bad {
+		return 1, true
+	}
+	return 0, true
+}
+
+// latencies are those that count, in order of size.
+func latencies(s []outcome) []float64 {
+	var out []float64
+	for _, o := range s {
+		if o.steady {
+			out = append(out, o.lat)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
