Appliances rest after quick failures, longer for each in a row

It should also catch dead processes under a late list; it may hurt where failures of one class alone are quick.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,11 +55,13 @@
 	limitLeast   = 2    // for all agents together
 	purseTime    = 2000 // over which a tenant's share may be used unevenly
 	crossZone    = 1.5  // times the load it has: an appliance in another zone, where crossing is priced
-	choices      = 6    // random appliances compared for a place: an agent sees but its own part of the load
-	dearOnly     = 0.6  // part of the limit that is for any revenue
-	recallTries  = 4    // held txns in a row that find no place before the rest wait on
-	retryPause   = 25   // between looks for a place
-	endGuard     = 12   // the final answer leaves so long before the expiry
+	restFirst    = 20   // an appliance's rest after a quick failure
+	restMost     = 1000
+	choices      = 6   // random appliances compared for a place: an agent sees but its own part of the load
+	dearOnly     = 0.6 // part of the limit that is for any revenue
+	recallTries  = 4   // held txns in a row that find no place before the rest wait on
+	retryPause   = 25  // between looks for a place
+	endGuard     = 12  // the final answer leaves so long before the expiry
 	judgePause   = 200
 	renewAt      = 0.7  // of a vote's life
 	renewSpread  = 0.2  // and up to this later, so that renewals scatter
@@ -274,7 +276,7 @@
 			limit += a.limit[k]
 		}
 	}
-	return float64(a.open[i]) < max(a.limit[i]*part, 1) && float64(open) < max(limit*part, 2)
+	return a.now >= a.restUntil[i] && float64(a.open[i]) < max(a.limit[i]*part, 1) && float64(open) < max(limit*part, 2)
 }
 
 // press moves the limit: up while answers are in time and it binds, down for late ones.
@@ -286,6 +288,18 @@
 	}
 }
 
+// rest lets an appliance be after a quick failure, longer for each in a row. One that fails at once never has much
+// open and would draw all work to it: a dead process, a full one, a build that breaks, a list that lags.
+func (a *Agent) rest(i int, r Result) {
+	switch r {
+	case Settled:
+		a.inRow[i] = 0
+	case Rejected, Unconnected, Errored, Broken:
+		pause := min(restFirst*math.Pow(2, a.inRow[i]), restMost) * (0.5 + a.rnd.Float64())
+		a.inRow[i], a.restUntil[i] = a.inRow[i]+1, max(a.restUntil[i], a.now+pause)
+	}
+}
+
 func (a *Agent) route() {
 	t := a.todo[0]
 	a.next()
@@ -467,6 +481,7 @@
 // ended draws the conclusions from one submission's end.
 func (a *Agent) ended(t *txn, s *submission, r Result, took float64) {
 	good := r == Settled && a.now <= t.sla
+	a.rest(s.app, r)
 	if r != Revoked && r != Moot && !s.late {
 		a.note(s.app, good)
 		if r != Unconnected && r != Errored {
--- a/policy/state.go
+++ b/policy/state.go
@@ -50,6 +50,7 @@
 	limit                       []float64 // own open submissions that it may have
 	good, poor, seenAt          []float64 // fading record of answers within the SLA time and others
 	rel                         []float64 // latency against the product's usual
+	inRow, restUntil            []float64 // quick failures in a row, and the rest after them
 	level, levelAt              []float64 // cold budget
 	recent                      [][]float64
 	asked, subscribed           bool
@@ -203,10 +204,12 @@
 			a.seenAt, a.rel, a.recent = append(a.seenAt, 0), append(a.rel, 1), append(a.recent, nil)
 			a.level, a.levelAt = append(a.level, 0), append(a.levelAt, now)
 			a.limit = append(a.limit, limitFirst)
+			a.inRow, a.restUntil = append(a.inRow, 0), append(a.restUntil, 0)
 		}
 		if a.start[i] != e.Start || a.builds[i] != e.Build {
 			// A re-used id or a restart: nothing learned of the former process holds, and it is cold.
 			a.good[i], a.poor[i], a.rel[i], a.recent[i], a.level[i], a.levelAt[i] = 0, 0, 1, nil, 0, now
+			a.inRow[i], a.restUntil[i] = 0, 0
 		}
 		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
 		a.state[i], a.rating[i], a.start[i] = e.State, max(e.Rating, 0.01), e.Start
