--- /dev/null
+++ b/policy/helper_test.go
@@ -0,0 +1,55 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+)
+
+// record is a port that keeps what the module does, one word an action.
+type record struct{ did []string }
+
+func (r *record) add(format string, args ...any) { r.did = append(r.did, fmt.Sprintf(format, args...)) }
+
+func (r *record) Submit(txn, appliance string, limit float64) { r.add("submit %s %s", txn, appliance) }
+func (r *record) Decline(txn string, wait float64)            { r.add("decline %s", txn) }
+func (r *record) Void(txn string)                             { r.add("void %s", txn) }
+func (r *record) Revoke(txn string, submission int)           { r.add("revoke %s %d", txn, submission) }
+func (r *record) Vote(build int, v Verdict, stage int)        { r.add("vote %d %d %d", build, v, stage) }
+func (r *record) Probe(appliance string)                      {}
+func (r *record) Timer(after float64, token uint64)           {}
+func (r *record) Subscribe()                                  { r.add("subscribe") }
+func (r *record) FetchList()                                  {}
+func (r *record) Log(line string)                             {}
+
+// take returns what was done since the last call.
+func (r *record) take() []string {
+	did := r.did
+	r.did = nil
+	return did
+}
+
+// tier starts an agent with one product on appliances of build 1 called a, b, c and so on.
+func tier(p Product, appliances int) (*Agent, *record) {
+	r := &record{}
+	a := New(r, 12345, 0, 2)
+	if p.SLA == 0 {
+		p.SLA, p.Expiry, p.Revenue, p.Remember = 1000, 4000, 1, 2000
+	}
+	a.Serve([]Product{p}, 5, true, true)
+	a.Warm(0.4, 5000, 3, 1000)
+	a.Expose(2, []float64{0.1, 0.5, 1}, 0, false, false)
+	a.Judge([]float64{0.1, 0.5, 1}, Majority, 4000, 800)
+	var list []Listed
+	for i := range appliances {
+		list = append(list, Listed{ID: string(rune('a' + i)), Build: 1, Rating: 1, Zone: i % 2, Cell: i % 2})
+	}
+	a.List(1, list, true, false)
+	return a, r
+}
+
+func expect(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	heatTime    = 3000
 	hotAt       = 1.6 // times the latency before the build: hot
 	hotEnds     = 1.35
-	hotLong     = 9000
+	hotLong     = 7000
 	releaseTail = 4000 // after a release, while the last traffic moves over
 	demandMore  = 1.3  // times the txns before the build: the cause of any heat
 	beforeTime  = 6000
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,340 @@
+package policy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// What is done after a first submission has ended so: the rule on effects.
+func TestEffects(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		group  Group
+		result Result
+		after  float64 // time of the outcome
+		want   string  // the action that follows
+		where  string  // appliances that it may name; empty: any
+	}{
+		{"inquiry-like goes again", InquiryLike, GroupAll, Errored, 100, "submit", ""},
+		{"once-only, may have run", OnceOnly, GroupAll, Errored, 100, "void", ""},
+		{"once-only, broken off", OnceOnly, GroupAll, Broken, 100, "void", ""},
+		{"once-only, proven not to have run", OnceOnly, GroupAll, Rejected, 100, "submit", ""},
+		{"once-only, never connected", OnceOnly, GroupAll, Unconnected, 100, "submit", ""},
+		{"referenced, all drop repeats", Referenced, GroupAll, Errored, 100, "submit", ""},
+		{"referenced, its zone only", Referenced, GroupZone, Errored, 100, "submit", "same"},
+		{"referenced, its cell only", Referenced, GroupCell, Broken, 100, "submit", "same"},
+		{"referenced, not run: any zone", Referenced, GroupZone, Rejected, 100, "submit", ""},
+		{"referenced, past the memory of all", Referenced, GroupAll, Errored, 300, "decline", ""},
+		{"referenced, past the memory of a zone", Referenced, GroupZone, Errored, 300, "void", ""},
+	} {
+		for n := range 20 { // the pick is by chance
+			p := Product{SLA: 1000, Expiry: 4000, Revenue: 1, Effect: c.effect, Group: c.group, Remember: 250}
+			a, r := tier(p, 8)
+			a.rnd.IntN(n + 1)
+			a.Txn(10, "t", "", 0, 0, false, 4000, 0)
+			first := r.take()[0]
+			a.Outcome(10+c.after, "t", 0, c.result, false, c.after, -1, -1)
+			for now := 10 + c.after; len(r.did) == 0 && now < 5000; now += 10 {
+				a.Wake(now, a.token)
+			}
+			got := r.take()
+			if len(got) != 1 || !strings.HasPrefix(got[0], c.want) {
+				t.Fatalf("%s: got %v, want %s", c.name, got, c.want)
+			}
+			if c.where == "same" && (first[len(first)-1]-got[0][len(got[0])-1])%2 != 0 {
+				t.Fatalf("%s: %s, then %s in another group", c.name, first, got[0])
+			}
+		}
+	}
+}
+
+// Every txn gets one final answer before its expiry, whatever its effect, and nothing after it.
+func TestLastMoment(t *testing.T) {
+	for _, c := range []struct {
+		effect Effect
+		want   string
+	}{{InquiryLike, "[decline t revoke t 0]"}, {Referenced, "[decline t revoke t 0]"}, {OnceOnly, "[void t revoke t 0]"}} {
+		a, r := tier(Product{SLA: 1000, Expiry: 4000, Revenue: 1, Effect: c.effect, Remember: 9000}, 2)
+		a.Txn(10, "t", "", 0, 0, false, 500, 0)
+		r.take()
+		for now := 15.0; now < 510; now += 5 {
+			a.Wake(now, a.token)
+		}
+		expect(t, "at the expiry", r.take(), c.want)
+		a.Outcome(520, "t", 0, TimedOut, true, 510, -1, -1)
+		a.Hangup(521, "t")
+		expect(t, "afterwards", r.take(), "[]")
+		expect(t, "still held", len(a.txns), 0)
+	}
+}
+
+// Nothing goes to an appliance that drains or is gone, and a re-used id is a new, cold machine.
+func TestList(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		entry Listed
+		whole bool
+		want  string
+	}{
+		{"drains", Listed{ID: "a", Build: 1, State: Draining, Rating: 1}, false, "[]"},
+		{"gone", Listed{ID: "a", Build: 1, State: Gone, Rating: 1}, false, "[]"},
+		{"not in a whole list", Listed{ID: "b", Build: 1, Rating: 1}, true, "[submit t b]"},
+		{"runs", Listed{ID: "a", Build: 1, Rating: 1}, false, "[submit t a]"},
+	} {
+		a, r := tier(Product{}, 1)
+		a.List(5, []Listed{c.entry}, c.whole, false)
+		a.Txn(10, "t", "", 0, 0, false, 4000, 0)
+		expect(t, c.name, r.take(), c.want)
+	}
+	a, r := tier(Product{}, 1)
+	a.Watch(true, 1000, 10000)
+	a.Wake(2, 0)
+	a.ListFailed(3)
+	expect(t, "asked once", r.take(), "[subscribe]")
+	var asked []float64
+	for now := 3.0; now < 60000; now += 5 {
+		a.Wake(now, a.token)
+		if len(r.take()) > 0 {
+			asked = append(asked, now)
+			a.ListFailed(now)
+		}
+	}
+	for k := 1; k < len(asked); k++ {
+		if gap := asked[k] - asked[k-1]; gap > 9000 || k < 4 && gap < asked[k-1]-3 && k > 1 && gap < 100 {
+			t.Errorf("asked again after %v ms", gap)
+		}
+	}
+	if len(asked) < 6 {
+		t.Errorf("asked %d times in a minute of failures", len(asked))
+	}
+}
+
+// In no stretch of time do more than free + cap x txns go to a build on trial.
+func TestExposure(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		limit       float64
+		phase       Phase
+		guarded     int
+		effect      Effect
+		news        int // build of the news; the machines run 2
+		most, least int // submissions at it of 100 txns, each settled at once
+	}{
+		{"cap 0", 0, OnTrial, 0, InquiryLike, 2, 0, 0},
+		{"cap 0.1", 0.1, OnTrial, 0, InquiryLike, 2, 12, 2},
+		{"withdrawn", 0, Withdrawn, 0, InquiryLike, 2, 0, 0},
+		{"guarded stage, with an effect", 0.5, OnTrial, 1, OnceOnly, 2, 0, 0},
+		{"guarded stage, inquiry-like", 0.5, OnTrial, 1, InquiryLike, 2, 52, 20},
+		{"not announced: first stage", 1, Released, 0, InquiryLike, 1, 12, 2},
+		{"released", 1, Released, 0, InquiryLike, 2, 100, 30},
+	} {
+		a, r := tier(Product{SLA: 1000, Expiry: 4000, Revenue: 1, Effect: c.effect}, 4)
+		a.Expose(2, []float64{0.1, 0.5, 1}, c.guarded, false, false)
+		a.News(2, c.news, 0, c.phase, Unasked, c.limit, 0, true)
+		a.List(3, []Listed{{ID: "x", Build: 2, Rating: 1}, {ID: "y", Build: 2, Rating: 1}, {ID: "z", Build: 2, Rating: 4}}, false, false)
+		n := 0
+		for k := range 100 {
+			id, now := fmt.Sprint(k), 10+float64(k)*20
+			a.Txn(now, id, "", 0, 0, false, 4000, 0)
+			for _, did := range r.take() {
+				if strings.ContainsAny(did[len(did)-1:], "xyz") {
+					n++
+				}
+			}
+			a.Outcome(now+10, id, 0, Settled, true, 10, -1, -1)
+		}
+		if n > c.most || n < c.least {
+			t.Errorf("%s: %d submissions, want %d to %d", c.name, n, c.least, c.most)
+		}
+	}
+}
+
+// A key that the trial build has settled goes to no earlier build until that build goes back.
+func TestKeysStay(t *testing.T) {
+	for _, c := range []struct {
+		phase Phase
+		open  bool // an earlier build may serve the key
+	}{{OnTrial, false}, {Released, false}, {GoingBack, true}, {Withdrawn, true}} {
+		a, r := tier(Product{}, 1)
+		a.Expose(2, []float64{1}, 0, false, true)
+		a.News(2, 2, 0, OnTrial, Unasked, 1, 0, true)
+		a.List(3, []Listed{{ID: "x", Build: 2, Rating: 1}, {ID: "a", Build: 1, State: Draining, Rating: 1}}, false, false)
+		a.Txn(10, "t", "k", 0, 0, false, 4000, 0)
+		a.Outcome(20, "t", 0, Settled, true, 10, -1, -1)
+		expect(t, "first", r.take(), "[submit t x]")
+		a.List(30, []Listed{{ID: "x", Build: 2, State: Draining, Rating: 1}, {ID: "a", Build: 1, Rating: 1}}, false, false)
+		a.News(31, 2, 0, c.phase, Unasked, 1, 0, true)
+		a.Txn(40, "u", "k", 0, 0, false, 4000, 0)
+		expect(t, fmt.Sprint("phase ", c.phase), len(r.take()) == 1, c.open)
+	}
+}
+
+// A cold appliance gets no more than its part, be it alone, among warm ones or after a restart.
+func TestCold(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		warm int
+		txns int // one each 5 ms, answered at once by the cold appliance alone
+		most int // submissions at it
+	}{{"among warm", 4, 100, 30}, {"alone", 0, 600, 30}} {
+		a, r := tier(Product{}, c.warm)
+		for k := range 400 {
+			id, now := fmt.Sprint("w", k), 10+float64(k)*5
+			a.Txn(now, id, "", 0, 0, false, 4000, 0)
+			a.Outcome(now+4, id, 0, Settled, true, 50, -1, -1)
+		}
+		a.List(2100, []Listed{{ID: "x", Build: 1, Rating: 1, Start: 2050}}, false, false)
+		r.take()
+		n := 0
+		for k := range c.txns {
+			id, now := fmt.Sprint(k), 2101+float64(k)*5
+			a.Txn(now, id, "", 0, 0, false, 4000, 0)
+			for _, did := range r.take() {
+				if strings.HasSuffix(did, " x") {
+					n++
+					a.Outcome(now+4, strings.Fields(did)[1], 0, Settled, true, 50, -1, -1)
+				}
+			}
+		}
+		if n > c.most || n == 0 {
+			t.Errorf("%s: %d submissions, want 1 to %d", c.name, n, c.most)
+		}
+	}
+}
+
+// What the gates say of two arms; n outcomes each, latencies 50 to 150 ms times slow, a share bad.
+func TestGates(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		n         int
+		slow, bad float64
+		jump      float64 // the third slice of the newest build so many times slower
+		earned    bool
+		worse     string
+	}{
+		{"the same", 200, 1, 0, 1, true, ""},
+		{"wholly slower", 200, 2, 0, 1, false, "latency"},
+		{"wholly faster", 200, 0.5, 0, 1, true, ""},
+		{"one slice slower: latency does not agree", 200, 1, 0, 20, true, ""},
+		{"failures", 200, 1, 0.2, 1, false, "failures"},
+		{"failures, few outcomes", 10, 1, 0.4, 1, false, "failures"},
+		{"too few", 15, 2, 0, 1, false, ""},
+		{"two failures are too few", 10, 1, 0.2, 1, false, ""},
+	} {
+		arm := func(slow, bad, jump float64) (out []outcome) {
+			for k := range c.n {
+				o := outcome{at: float64(k), lat: (50 + float64(k*37%101)) * slow, app: k % 4, steady: true}
+				if k*5/c.n == 2 {
+					o.lat *= jump
+				}
+				if o.bad = float64(k*7%10) < bad*10; o.bad {
+					o.steady = false
+				}
+				out = append(out, o)
+			}
+			return out
+		}
+		earned, worse := compare(arm(c.slow, c.bad, c.jump), arm(1, 0, 1), true)
+		if earned != c.earned || !strings.HasPrefix(worse, c.worse) || (worse != "") != (c.worse != "") {
+			t.Errorf("%s: earned %v, worse %q", c.name, earned, worse)
+		}
+	}
+}
+
+// When the agent votes, and how it answers the platform's answers.
+func TestVotes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		control Control
+		replies []Reply // to the votes in turn; the last holds on
+		slow    float64
+		fail    int // every so manieth at the newest build fails
+		want    string
+		from    float64 // no vote sooner
+		votes   int     // at the most until 20 s
+	}{
+		{"a good build", Majority, []Reply{Counted}, 1, 0, "vote 2 1 0", 4000, 6},
+		{"a clock gets no on", Clocked, []Reply{Counted}, 1, 0, "", 0, 0},
+		{"a bad build", Majority, []Reply{Counted}, 1, 2, "vote 2 3 0", 1000, 9},
+		{"a bad build on a clock", Clocked, []Reply{Counted}, 1, 2, "vote 2 3 0", 1000, 9},
+		{"full, then counted", Majority, []Reply{Refused, Silent, Counted}, 1, 0, "vote 2 1 0", 4000, 8},
+	} {
+		a, r := tier(Product{}, 9)
+		a.Judge([]float64{0.1, 1}, c.control, 4000, 800)
+		a.News(900, 2, 0, OnTrial, Unasked, 0.3, 0, true)
+		a.List(1001, []Listed{{ID: "x", Build: 2, Rating: 1, Start: 1000}}, false, false)
+		votes, first, at := 0, "", 0.0
+		for k := range 1900 {
+			now, id := 1010+float64(k)*10, fmt.Sprint(k)
+			a.Txn(now, id, "", 0, 0, false, 4000, 0)
+			for _, did := range r.take() {
+				switch {
+				case strings.HasPrefix(did, "vote"):
+					if votes == 0 {
+						first, at = did, now
+					}
+					reply := c.replies[min(votes, len(c.replies)-1)]
+					votes++
+					a.News(now, 2, 0, OnTrial, reply, 0.3, now-900, reply == Counted)
+				case strings.HasPrefix(did, "submit "+id+" x") && c.fail > 0 && k%c.fail == 0:
+					a.Outcome(now+5, id, 0, Errored, true, 5, -1, -1)
+				case strings.HasPrefix(did, "submit"):
+					a.Outcome(now+5, id, 0, Settled, true, 50+float64(k*37%101), -1, -1)
+				}
+			}
+		}
+		if first != c.want || at < c.from && c.want != "" || votes > c.votes {
+			t.Errorf("%s: %q at %v, %d votes", c.name, first, at, votes)
+		}
+	}
+}
+
+// Work is refused by a machine that fails at once, and found again when it recovers.
+func TestQuickFailures(t *testing.T) {
+	for _, result := range []Result{Rejected, Unconnected, Errored} {
+		a, r := tier(Product{}, 4)
+		n, late := 0, 0
+		for k := range 600 {
+			id, now := fmt.Sprint(k), 10+float64(k)*10
+			a.Txn(now, id, "", 0, 0, false, 4000, 0)
+			for s := 0; s < 5; s++ {
+				did := r.take()
+				if len(did) == 0 {
+					break
+				}
+				if !strings.HasSuffix(did[0], " a") {
+					a.Outcome(now+9, id, s, Settled, true, 9, -1, -1)
+				} else if k < 300 {
+					n++
+					a.Outcome(now+1, id, s, result, false, 1, -1, -1)
+				} else {
+					late++
+					a.Outcome(now+9, id, s, Settled, true, 9, -1, -1)
+				}
+			}
+		}
+		if n > 30 || late < 5 {
+			t.Errorf("result %d: %d submissions while it failed, %d after", result, n, late)
+		}
+	}
+}
+
+// The same inputs give the same actions, another seed others; the generator's sequence is known.
+func TestChance(t *testing.T) {
+	g := mwc{x: 1, c: 0}
+	expect(t, "generator", []uint64{g.next(), g.next(), g.next()}, []uint64{4294957665, 92756161, 18591715})
+	run := func(seed uint64) string {
+		r := &record{}
+		a := New(r, seed, 0, 1)
+		a.Serve([]Product{{SLA: 1000, Expiry: 4000, Revenue: 1}}, 5, true, true)
+		a.List(1, []Listed{{ID: "a", Rating: 1}, {ID: "b", Rating: 1}, {ID: "c", Rating: 1}}, true, false)
+		for k := range 50 {
+			a.Txn(float64(k), fmt.Sprint(k), "", 0, 0, false, 4000, 0)
+		}
+		return fmt.Sprint(r.did)
+	}
+	expect(t, "same seed", run(7), run(7))
+	expect(t, "another seed differs", run(7) != run(8), true)
+}
