--- a/policy/policy.go
+++ b/policy/policy.go
@@ -622,7 +622,7 @@
 // stands in for a comparison where a build slows old and new alike. 0 where too little is seen, or where more
 // is asked of the agent than before, for then the cause is known. Cold machines are left out.
 func (a *Agent) heat() float64 {
-	if a.demand > demandMore*a.before.demand {
+	if a.demandNow() > demandMore*a.before.demand {
 		return 0
 	}
 	if h := a.typical(a.evidence, heatTime); a.before.typical > 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -117,23 +117,23 @@
 
 	fleet
 	trial
-	txns                   map[string]*txn
-	todo                   []*txn
-	held                   []*txn // waiting for a place, oldest first
-	recallAt               float64
-	alarms                 alarms
-	armed                  float64
-	token                  uint64
-	usual                  []float64 // mean latency by product
-	pace, paceAt           float64
-	paceAge                float64
-	demand, demandAt       float64 // first tries of late
-	meanMs                 float64
-	quotas, purse, purseAt []float64 // by tenant
-	overWorth              float64
-	worth                  float64   // mean revenue
-	longest                []float64 // by product: the longest time of a try
-	workMean               float64
+	txns                         map[string]*txn
+	todo                         []*txn
+	held                         []*txn // waiting for a place, oldest first
+	recallAt                     float64
+	alarms                       alarms
+	armed                        float64
+	token                        uint64
+	usual                        []float64 // mean latency by product
+	pace, paceAt                 float64
+	paceAge                      float64
+	demand, demandAt, demandFrom float64 // first tries of late, and since when they are counted
+	meanMs                       float64
+	quotas, purse, purseAt       []float64 // by tenant
+	overWorth                    float64
+	worth                        float64   // mean revenue
+	longest                      []float64 // by product: the longest time of a try
+	workMean                     float64
 }
 
 // New makes an agent; seed starts its generator.
@@ -357,7 +357,7 @@
 		}
 	}
 	a.begun, a.want, a.stands, a.stage, a.hotSince = false, None, None, -1, math.Inf(1)
-	a.before.demand = a.demand
+	a.before.demand = a.demandNow()
 	for p := range a.before.usual {
 		var lat []float64
 		for _, arm := range was {
@@ -453,6 +453,9 @@
 	}
 	a.demand *= math.Exp(-(now - a.demandAt) / heatTime)
 	a.demandAt = now
+	if a.demandFrom == 0 {
+		a.demandFrom = now
+	}
 	if !again {
 		a.demand++
 	}
@@ -523,3 +526,8 @@
 	}
 	return a.coldFrom + (1-a.coldFrom)*max(a.now-a.start[i], 0)/a.warmTime
 }
+
+// demandNow is the first tries of late, right also soon after the start, when few can have been counted.
+func (a *Agent) demandNow() float64 {
+	return a.demand / max(1-math.Exp(-(a.now-a.demandFrom)/heatTime), 0.05)
+}
