--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	hotAt       = 1.6 // times the latency before the build: hot
 	hotEnds     = 1.35
 	hotLong     = 7000
-	releaseTail = 4000 // after a release, while the last traffic moves over
+	releaseTail = 2000 // after a release, while the last traffic moves over
 	demandMore  = 1.3  // times the txns before the build: the cause of any heat
 	beforeTime  = 6000
 	leastEach   = 5   // outcomes by machine, and
@@ -64,6 +64,7 @@
 	judgePause   = 200
 	renewAt      = 0.7  // of a vote's life
 	renewSpread  = 0.2  // and up to this later, so that renewals scatter
+	idlePause    = 3000 // after an answer that the vote does not fit, unless the stage changes
 	votePause    = 300  // before a vote that did not count is sent again
 	usualStep    = 0.02 // weight of one answer in a usual figure
 	relStep      = 0.1  // the same for one appliance
@@ -514,7 +515,11 @@
 		a.renew = a.now + a.life*(renewAt+renewSpread*a.rnd.Float64())
 		return
 	}
-	a.voteAt = a.now + votePause*(0.5+a.rnd.Float64())
+	pause := votePause
+	if reply == Idle { // the stage has moved on and the news is late: asking again tells nothing
+		pause = idlePause
+	}
+	a.voteAt = a.now + float64(pause)*(0.5+a.rnd.Float64())
 	a.look(a.voteAt, nil)
 }
 
@@ -700,7 +705,9 @@
 		return false
 	}
 	base := (float64(fails(old)) + 0.1) / (float64(len(old)) + 1)
-	edge := base + zoneSingle + 2*spread(old, leastEach, fewestEach, outcome.failed)/math.Sqrt(machines(neu))
+	// Also how the newest build's own machines differ: trouble of a few of them is not the build's.
+	uneven := max(spread(old, leastEach, fewestEach, outcome.failed), spread(neu, leastEach, fewestEach, outcome.failed))
+	edge := base + zoneSingle + 2*uneven/math.Sqrt(machines(neu))
 	if edge >= 1 {
 		return false
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -351,7 +351,7 @@
 	a.taken /= 2
 	a.places, a.placed = 0, 0
 	for i := range a.id {
-		if a.state[i] == Running && a.builds[i] < build {
+		if a.state[i] != Gone && a.builds[i] < build { // also what its successor already drains
 			a.places++
 			a.placed += a.rating[i]
 		}
@@ -492,6 +492,7 @@
 		}
 		if stage != a.stage || phase != a.phase {
 			a.phaseAt = now - age
+			a.voteAt = 0
 			a.begun, a.want = false, None // what was seen of one stage carries no vote on the next
 		}
 		if phase == GoingBack || phase == Withdrawn {
--- a/policy/stats.go
+++ b/policy/stats.go
@@ -74,29 +74,31 @@
 	return d
 }
 
-// spread is how far machines of one build differ among themselves: a negative control. A difference between
-// builds that machines of one build show too is no word on the build.
-func spread(s []outcome, least float64, fewest int, figure func(outcome) (float64, bool)) float64 {
-	var sum, n []float64
+// spread is how far machines of one build differ among themselves, beyond what chance makes of so few outcomes: a
+// negative control. A difference between builds that machines of one build show too is no word on the build.
+func spread(s []outcome, least int, fewest int, figure func(outcome) (float64, bool)) float64 {
+	var by [][]float64
 	for _, o := range s {
-		for len(n) <= o.app {
-			sum, n = append(sum, 0), append(n, 0)
+		for len(by) <= o.app {
+			by = append(by, nil)
 		}
 		if v, ok := figure(o); ok {
-			sum[o.app] += v
-			n[o.app]++
+			by[o.app] = append(by[o.app], v)
 		}
 	}
 	var means []float64
-	for i := range n {
-		if n[i] >= least {
-			means = append(means, sum[i]/n[i])
+	chance := 0.0
+	for _, v := range by {
+		if len(v) >= least {
+			m, sd := stat.MeanStdDev(v, nil)
+			means = append(means, m)
+			chance += sd * sd / float64(len(v))
 		}
 	}
 	if len(means) < fewest {
 		return 0
 	}
-	return stat.StdDev(means, nil)
+	return math.Sqrt(max(stat.Variance(means, nil)-chance/float64(len(means)), 0))
 }
 
 func machines(s []outcome) float64 {
