--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 	agreeCV     = 0.15  // gate two's bound on slices
 	farMore     = 2.0   // slices differ so many times more than halves of one: they do not agree
 	floorOn     = 3000  // no 'on' sooner after the stage's listed start times
+	floorRoom   = 400   // more: the stage's own clock starts only about a second after its machines
 	wait        = 4000  // short of outcomes, 'on' comes after this barring a regression
 	cut         = 5     // slices
 	leastSample = 20    // outcomes by build and product
@@ -37,10 +38,9 @@
 	hotLong     = 7000
 	releaseTail = 2000 // after a release, while the last traffic moves over
 	demandMore  = 1.3  // times the txns before the build: the cause of any heat
-	beforeTime  = 6000
-	leastEach   = 5   // outcomes by machine, and
-	fewestEach  = 3   // machines, that tell how machines of one build differ
-	keep        = 400 // outcomes kept by build and product
+	leastEach   = 5    // outcomes by machine, and
+	fewestEach  = 3    // machines, that tell how machines of one build differ
+	keep        = 400  // outcomes kept by build and product
 
 	coldMargin   = 0.7  // part of the cold budget used: work varies, and other agents are not seen
 	coldDepth    = 0.25 // part of the budget's window that may go at once, against a burst on a fresh machine
@@ -257,11 +257,6 @@
 	a.look(t.expiry-endGuard, t)
 }
 
-// hopeless tells that an answer within the SLA time can no longer be had.
-func (a *Agent) hopeless(t *txn) bool {
-	return a.now+a.usual[t.product] >= t.sla && (a.products[t.product].Late == 0 || len(t.subs) == 0)
-}
-
 // room tells that the own open submissions, at the appliance and in all, are fewer than those lately answered
 // in time. The limits keep queues short where late work is not called off; the dear may use the last of them.
 func (a *Agent) room(t *txn, i int) bool {
@@ -276,7 +271,8 @@
 			limit += a.limit[k]
 		}
 	}
-	return a.now >= a.restUntil[i] && float64(a.open[i]) < max(a.limit[i]*part, 1) && float64(open) < max(limit*part, 2)
+	here, all := max(a.limit[i]*part, 1), max(limit*part, 2)
+	return a.now >= a.restUntil[i] && float64(a.open[i]) < here && float64(open) < all
 }
 
 // press moves the limit: up while answers are in time and it binds, down for late ones.
@@ -288,8 +284,8 @@
 	}
 }
 
-// rest lets an appliance be after a quick failure, longer for each in a row. One that fails at once never has much
-// open and would draw all work to it: a dead process, a full one, a build that breaks, a list that lags.
+// rest lets an appliance be after a quick failure, longer for each in a row. One that fails at once never has
+// much open and would draw all work to it: a dead process, a full one, a build that breaks, a list that lags.
 func (a *Agent) rest(i int, r Result) {
 	switch r {
 	case Settled:
@@ -303,8 +299,9 @@
 func (a *Agent) route() {
 	t := a.todo[0]
 	a.next()
-	if len(t.subs) >= a.maxSubs || a.hopeless(t) {
-		a.end(t)
+	inTime := a.now+a.usual[t.product] < t.sla || a.products[t.product].Late > 0 && len(t.subs) > 0
+	if len(t.subs) >= a.maxSubs || !inTime {
+		a.end(t) // given up: answered at once
 		return
 	}
 	if i := a.pick(t); i >= 0 {
@@ -378,9 +375,6 @@
 			limit = max(limit, l*capPart)
 		}
 	}
-	if all == 0 {
-		return 0
-	}
 	if limit >= capPart {
 		limit = 1
 	}
@@ -388,7 +382,7 @@
 	if a.last() {
 		all = min(all, a.placed)
 	}
-	return min(neu/all, limit)
+	return min(neu/max(all, 1e-9), limit)
 }
 
 // last tells that the stage covers all places; where the earlier machines stay they are then left idle, and
@@ -397,14 +391,13 @@
 
 // pick chooses the arm, then of some random appliances in it the one with least to do for its size.
 func (a *Agent) pick(t *txn) int {
-	trial := a.draw(t) < a.share()
+	// What failed on the trial build is tried elsewhere.
+	failed := len(t.subs) > 0 && t.subs[len(t.subs)-1].build >= a.newest
+	trial := !failed && a.draw(t) < a.share()
 	if trial && a.keysStay && a.cap < 1 && t.key != "" && a.ties[t.key] == 0 &&
 		a.sightings[t.key] > 2+popularShare*a.cap*a.taken {
 		trial = false // a popular key, once tied, could need more than the allowance
 	}
-	if len(t.subs) > 0 && t.subs[len(t.subs)-1].build >= a.newest {
-		trial = false // what failed on the trial build is tried elsewhere
-	}
 	if i := a.pickIn(t, trial); i >= 0 {
 		return i
 	}
@@ -583,7 +576,7 @@
 		seen += len(e)
 	}
 	// An inconclusive comparison blocks nothing: with the least sample seen the floor alone is waited for.
-	ready := max(a.lastStart, a.phaseAt) + floorOn
+	ready := max(a.lastStart, a.phaseAt) + floorOn + floorRoom
 	if seen < leastSample && !earned {
 		ready = max(ready, a.lastStart+wait)
 		if a.control == Single {
@@ -706,7 +699,8 @@
 	}
 	base := (float64(fails(old)) + 0.1) / (float64(len(old)) + 1)
 	// Also how the newest build's own machines differ: trouble of a few of them is not the build's.
-	uneven := max(spread(old, leastEach, fewestEach, outcome.failed), spread(neu, leastEach, fewestEach, outcome.failed))
+	differ := func(s []outcome) float64 { return spread(s, leastEach, fewestEach, outcome.failed) }
+	uneven := max(differ(old), differ(neu))
 	edge := base + zoneSingle + 2*uneven/math.Sqrt(machines(neu))
 	if edge >= 1 {
 		return false
--- a/policy/state.go
+++ b/policy/state.go
@@ -362,7 +362,7 @@
 		var lat []float64
 		for _, arm := range was {
 			for _, o := range arm[p] {
-				if o.steady && o.at > a.now-beforeTime {
+				if o.steady && o.at > a.now-2*heatTime {
 					lat = append(lat, o.lat)
 				}
 			}
@@ -372,7 +372,7 @@
 			a.before.usual[p] = quantile(lowPart, lat)
 		}
 	}
-	a.before.typical = a.typical(was, beforeTime)
+	a.before.typical = a.typical(was, 2*heatTime)
 	a.judgeAt = a.now
 }
 
