--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,11 +36,11 @@
 	hotAt       = 1.6 // times the latency before the build: hot
 	hotEnds     = 1.35
 	hotLong     = 7000
-	releaseTail = 2000 // after a release, while the last traffic moves over
-	demandMore  = 1.3  // times the txns before the build: the cause of any heat
-	leastEach   = 5    // outcomes by machine, and
-	fewestEach  = 3    // machines, that tell how machines of one build differ
-	keep        = 400  // outcomes kept by build and product
+	releaseTail = 500 // after a release, by which all traffic has moved over
+	demandMore  = 1.3 // times the txns before the build: the cause of any heat
+	leastEach   = 5   // outcomes by machine, and
+	fewestEach  = 3   // machines, that tell how machines of one build differ
+	keep        = 400 // outcomes kept by build and product
 
 	coldMargin   = 0.7  // part of the cold budget used: work varies, and other agents are not seen
 	coldDepth    = 0.25 // part of the budget's window that may go at once, against a burst on a fresh machine
@@ -345,9 +345,7 @@
 	}
 }
 
-// overdue holds a submission past the SLA time against its appliance at once, not when its outcome comes at
-// last. No second copy goes out beside it: measured, copies cost more in a shortage than they saved
-// elsewhere.
+// overdue holds a late submission against its appliance at once. No second copy goes out: they fed shortages.
 func (a *Agent) overdue() {
 	t := a.todo[0]
 	a.next()
@@ -594,7 +592,7 @@
 	var neu, old []outcome
 	for p := range a.products {
 		n, o := a.evidence[1][p], a.evidence[0][p]
-		e, w := compare(n, o, !a.last())
+		e, w := compare(n, o, !a.last(), a.phase == Released)
 		if w != "" {
 			return false, fmt.Sprintf("product %d: %s", p, w)
 		}
@@ -607,7 +605,7 @@
 			s[k].lat = s[k].rel
 		}
 	}
-	e, worse := compare(neu, old, !a.last())
+	e, worse := compare(neu, old, !a.last(), a.phase == Released)
 	return earned || e, worse
 }
 
@@ -640,8 +638,8 @@
 }
 
 // compare is gates two and three for one product.
-func compare(neu, old []outcome, alike bool) (earned bool, worse string) {
-	if failing(neu, old) {
+func compare(neu, old []outcome, alike, released bool) (earned bool, worse string) {
+	if failing(neu, old, released) {
 		return false, fmt.Sprintf("failures %d of %d against %d of %d", fails(neu), len(neu), fails(old), len(old))
 	}
 	if len(neu) < leastSample || len(old) < leastSample {
@@ -692,15 +690,17 @@
 
 // failing is the interval on a failure share: a posterior, for it also speaks below the least sample and at
 // no failures.
-func failing(neu, old []outcome) bool {
+func failing(neu, old []outcome, released bool) bool {
 	f := fails(neu)
 	if f < 3 {
 		return false
 	}
 	base := (float64(fails(old)) + 0.1) / (float64(len(old)) + 1)
-	// Also how the newest build's own machines differ: trouble of a few of them is not the build's.
-	differ := func(s []outcome) float64 { return spread(s, leastEach, fewestEach, outcome.failed) }
-	uneven := max(differ(old), differ(neu))
+	// Released, it has no other machines beside it: trouble of a few of its own must not pass for its doing.
+	uneven := spread(old, leastEach, fewestEach, outcome.failed)
+	if released {
+		uneven = max(uneven, spread(neu, leastEach, fewestEach, outcome.failed))
+	}
 	edge := base + zoneSingle + 2*uneven/math.Sqrt(machines(neu))
 	if edge >= 1 {
 		return false
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -236,7 +236,7 @@
 			}
 			return out
 		}
-		earned, worse := compare(arm(c.slow, c.bad, c.jump), arm(1, 0, 1), true)
+		earned, worse := compare(arm(c.slow, c.bad, c.jump), arm(1, 0, 1), true, false)
 		if earned != c.earned || !strings.HasPrefix(worse, c.worse) || (worse != "") != (c.worse != "") {
 			t.Errorf("%s: earned %v, worse %q", c.name, earned, worse)
 		}
