--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,7 +15,6 @@
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
-// The design's figures, and those it leaves open.
 const (
 	zoneLatency = 0.10  // per latency percentile
 	zoneSingle  = 0.05  // for single figures
@@ -56,11 +55,12 @@
 	crossZone    = 1.5  // times the load it has: an appliance in another zone, where crossing is priced
 	restFirst    = 20   // an appliance's rest after a quick failure
 	restMost     = 1000
-	choices      = 6   // random appliances compared for a place: an agent sees but its own part of the load
-	dearOnly     = 0.6 // part of the limit that is for any revenue
-	recallTries  = 4   // held txns in a row that find no place before the rest wait on
-	retryPause   = 25  // between looks for a place
-	endGuard     = 12  // the final answer leaves so long before the expiry
+	reportTime   = 1500 // over which a load report fades: it was late and noisy when it came
+	choices      = 6    // random appliances compared for a place: an agent sees but its own part of the load
+	dearOnly     = 0.6  // part of the limit that is for any revenue
+	recallTries  = 4    // held txns in a row that find no place before the rest wait on
+	retryPause   = 25   // between looks for a place
+	endGuard     = 12   // the final answer leaves so long before the expiry
 	judgePause   = 200
 	renewAt      = 0.7  // of a vote's life
 	renewSpread  = 0.2  // and up to this later, so that renewals scatter
@@ -438,7 +438,7 @@
 			continue
 		}
 		n++
-		load := (float64(a.open[i]) + 1) / (a.rating[i] * a.coldness(i)) * a.rel[i]
+		load := (float64(a.open[i]) + 1) * (1 + a.reported(i)) / (a.rating[i] * a.coldness(i)) * a.rel[i]
 		if a.zonePriced && a.zones[i] != a.home {
 			load *= crossZone
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -51,6 +51,7 @@
 	good, poor, seenAt          []float64 // fading record of answers within the SLA time and others
 	rel                         []float64 // latency against the product's usual
 	inRow, restUntil            []float64 // quick failures in a row, and the rest after them
+	told, toldAt                []float64 // load by the last report
 	level, levelAt              []float64 // cold budget
 	recent                      [][]float64
 	asked, subscribed           bool
@@ -204,12 +205,13 @@
 			a.seenAt, a.rel, a.recent = append(a.seenAt, 0), append(a.rel, 1), append(a.recent, nil)
 			a.level, a.levelAt = append(a.level, 0), append(a.levelAt, now)
 			a.limit = append(a.limit, limitFirst)
+			a.told, a.toldAt = append(a.told, 0), append(a.toldAt, now)
 			a.inRow, a.restUntil = append(a.inRow, 0), append(a.restUntil, 0)
 		}
 		if a.start[i] != e.Start || a.builds[i] != e.Build {
 			// A re-used id or a restart: nothing learned of the former process holds, and it is cold.
 			a.good[i], a.poor[i], a.rel[i], a.recent[i], a.level[i], a.levelAt[i] = 0, 0, 1, nil, 0, now
-			a.inRow[i], a.restUntil[i] = 0, 0
+			a.inRow[i], a.restUntil[i], a.told[i] = 0, 0, 0
 		}
 		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
 		a.state[i], a.rating[i], a.start[i] = e.State, max(e.Rating, 0.01), e.Start
@@ -474,6 +476,9 @@
 		t.ended = t.ended || final
 		a.open[s.app]--
 		a.recallAt = now
+		if waiting >= 0 || busy >= 0 {
+			a.told[s.app], a.toldAt[s.app] = max(waiting, 0)+max(busy, 0), now
+		}
 		a.ended(t, s, r, took)
 	}
 	a.settle()
@@ -532,3 +537,8 @@
 func (a *Agent) demandNow() float64 {
 	return a.demand / max(1-math.Exp(-(a.now-a.demandFrom)/heatTime), 0.05)
 }
+
+// reported is an appliance's load by its last report, txns waiting and how busy it is, fading with its age.
+func (a *Agent) reported(i int) float64 {
+	return a.told[i] * math.Exp(-(a.now-a.toldAt[i])/reportTime)
+}
