--- /dev/null
+++ b/internal/httpwire/front.go
@@ -0,0 +1,262 @@
+// Package httpwire speaks the users' HTTP/1.1 protocol around the core: clients, appliances, discovery, platform. It
+// reports events and carries out actions and must never choose: no retry, pick, health or time-out of its own beyond
+// what the protocol fixes.
+package httpwire
+
+// This file owns the clients' side: the server, a txn's life from its first byte to its one answer, and leaving. It
+// must never answer a txn twice, leave one without an answer, or let bad input reach the module or an appliance.
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"onyxgate/internal/core"
+	"onyxgate/policy"
+)
+
+const (
+	headMost = 16 << 10
+	headWait = 5 * time.Second
+	idMost   = 256
+	// New connections come for up to 0.4 s after the signal; the kill no sooner than the longest time of a txn and
+	// 0.7 s after it.
+	leaveOpen = 700 * time.Millisecond
+	leaveRest = 150 * time.Millisecond // without a txn, before the listener is closed
+)
+
+// Front serves clients.
+type Front struct {
+	core     *core.Core
+	up       *Upstream
+	sockets  *Sockets
+	products map[string]int
+	effects  []policy.Effect
+	open     int   // txns at once; 0: no limit
+	room     int64 // bytes of bodies at once
+	bodies   atomic.Int64
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	active   atomic.Int64
+	lastAt   atomic.Int64 // when a txn last began or ended
+	Refused  atomic.Int64 // bad input, by whatever status
+}
+
+// NewFront makes one for the products by name; bodies held at once may add up to room bytes.
+func NewFront(c *core.Core, up *Upstream, sockets *Sockets, names []string, products []policy.Product, open int,
+	room int64) *Front {
+	f := &Front{core: c, up: up, sockets: sockets, products: map[string]int{}, open: open, room: room}
+	for i, name := range names {
+		f.products[name] = i
+		f.effects = append(f.effects, products[i].Effect)
+	}
+	return f
+}
+
+// Ready opens /up: list and news are held and the module runs.
+func (f *Front) Ready() { f.ready.Store(true) }
+
+// Server is the net/http server that drives the front.
+func (f *Front) Server() *http.Server {
+	quietLog := logrus.StandardLogger().WriterLevel(logrus.DebugLevel)
+	return &http.Server{Handler: f, ReadHeaderTimeout: headWait, MaxHeaderBytes: headMost,
+		ErrorLog: log.New(quietLog, "", 0), ConnState: func(c net.Conn, state http.ConnState) {
+			if state == http.StateIdle {
+				f.sockets.Idle(c)
+			} else {
+				f.sockets.Busy(c)
+			}
+		}}
+}
+
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.leaving.Load() || f.sockets.Short() {
+		w.Header().Set("Connection", "close")
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if path == "/up" && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		if !f.ready.Load() || f.leaving.Load() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+		return
+	}
+	f.txn(w, r, path)
+}
+
+// txn is the life of one txn, from its first byte to its one answer.
+func (f *Front) txn(w http.ResponseWriter, r *http.Request, path string) {
+	came := f.core.Now()
+	f.active.Add(1)
+	f.lastAt.Store(time.Now().UnixNano())
+	defer func() {
+		f.lastAt.Store(time.Now().UnixNano())
+		f.active.Add(-1)
+	}()
+
+	// What does not have the form of a txn goes no further.
+	parts := strings.Split(strings.Trim(path, "/"), "/")
+	product, known := f.products[parts[0]]
+	left, timed := duration(r.Header.Get("Req-Deadline"))
+	id := r.Header.Get("Req-Id")
+	method := http.MethodPost
+	if known && f.effects[product] == policy.InquiryLike {
+		method = http.MethodGet
+	}
+	switch {
+	case !known:
+		f.refuse(w, http.StatusNotFound, "unknown product")
+		return
+	case r.Method != method:
+		w.Header().Set("Allow", method)
+		f.refuse(w, http.StatusMethodNotAllowed, "wrong method")
+		return
+	case !word(id):
+		f.refuse(w, http.StatusBadRequest, "no id, or a malformed one")
+		return
+	case !timed:
+		f.refuse(w, http.StatusBadRequest, "no deadline, or a malformed one")
+		return
+	case f.effects[product] == policy.Referenced && !word(r.Header.Get("Idempotency-Key")):
+		f.refuse(w, http.StatusBadRequest, "no mark against repeats")
+		return
+	case r.ContentLength > bodyMost:
+		f.refuse(w, http.StatusRequestEntityTooLarge, "body too long")
+		return
+	}
+	key := ""
+	if len(parts) > 1 {
+		key = parts[len(parts)-1]
+	}
+
+	// The body is read whole before anything is decided; the client's time runs meanwhile.
+	limits := http.NewResponseController(w)
+	limits.SetReadDeadline(time.Now().Add(time.Duration(left * 1e6)))
+	limits.SetWriteDeadline(time.Now().Add(time.Duration(left*1e6) + time.Second))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+	limits.SetReadDeadline(time.Time{})
+	if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
+		f.refuse(w, http.StatusRequestEntityTooLarge, "body too long")
+		return
+	} else if err != nil { // it never came whole, so nothing was taken
+		w.Header().Set("Connection", "close")
+		f.refuse(w, http.StatusBadRequest, "body cut off")
+		return
+	}
+	defer f.bodies.Add(-int64(len(body)))
+	if f.bodies.Add(int64(len(body))) > f.room || f.open > 0 && f.active.Load() > int64(f.open) {
+		logrus.Warn("no room for a txn's body")
+		decline(w, 0)
+		return
+	}
+
+	t := f.core.Take(came, id, key, product, r.Header.Get("Req-Retry") == "1", left)
+	if t == nil {
+		f.refuse(w, http.StatusBadRequest, "this id is held already")
+		return
+	}
+	answered := false
+	defer func() { // whatever fails, the txn ends here, with an answer where none was given
+		if failed := recover(); failed != nil {
+			logrus.WithField("panic", failed).Error("a txn's handler failed")
+			if !answered {
+				void(w)
+			}
+		}
+		t.Close()
+	}()
+	first := head(r, len(body))
+	for !answered {
+		select {
+		case <-t.Bell():
+		case <-r.Context().Done(): // the client has gone
+			return
+		}
+		for _, a := range t.Mail() {
+			switch a.Do {
+			case core.Submit:
+				go f.up.Submit(a.Sub, a.Appliance, first, body)
+			case core.Settle:
+				answered = true
+				settle(w, a.Answer.(answer))
+			case core.Decline:
+				answered = true
+				decline(w, a.Wait)
+			case core.Void:
+				answered = true
+				void(w)
+			}
+		}
+	}
+}
+
+func settle(w http.ResponseWriter, a answer) {
+	if a.kind == "" {
+		a.kind = "application/octet-stream"
+	}
+	w.Header().Set("Content-Type", a.kind)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.Write(a.body)
+}
+
+func decline(w http.ResponseWriter, wait float64) {
+	if wait > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(wait/1000, 'f', 3, 64))
+	}
+	http.Error(w, "declined: trying again is harmless", http.StatusServiceUnavailable)
+}
+
+func void(w http.ResponseWriter) { http.Error(w, "voided", http.StatusBadGateway) }
+
+func (f *Front) refuse(w http.ResponseWriter, status int, why string) {
+	f.Refused.Add(1)
+	http.Error(w, why, status)
+}
+
+// word tells that a header's value is one word of sane length.
+func word(s string) bool {
+	return s != "" && len(s) <= idMost && !strings.ContainsFunc(s, func(c rune) bool { return c <= ' ' || c > '~' })
+}
+
+// duration reads a number with its unit, in milliseconds.
+func duration(s string) (float64, bool) {
+	if s == "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(s[:len(s)-1], 64)
+	switch s[len(s)-1] {
+	case 'm':
+	case 'u':
+		v /= 1000
+	default:
+		return 0, false
+	}
+	return v, err == nil && v > 0 && !math.IsInf(v, 1) && v <= 24*3600*1000
+}
+
+// Leave serves what is there and what still comes, and returns once nothing does: connections arrive for a while
+// after the signal, and clients use those that they hold for as long as these stay open.
+func (f *Front) Leave(ctx context.Context, server *http.Server) {
+	f.leaving.Store(true)
+	f.core.Leave()
+	from := time.Now()
+	for tick := time.NewTicker(20 * time.Millisecond); ctx.Err() == nil; <-tick.C {
+		if time.Since(from) < leaveOpen {
+			continue
+		}
+		f.sockets.CloseIdle()
+		if f.active.Load() == 0 && time.Since(time.Unix(0, f.lastAt.Load())) > leaveRest {
+			break
+		}
+	}
+	server.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/must/release.go
@@ -0,0 +1,5 @@
+//go:build !debug
+
+package must
+
+func stop(string) {}
--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,160 @@
+// Package setup owns the reading of what an agent is told at its start: it turns the settings JSON into the module's
+// calls, once for the simulator's adapter and the live agent alike, and says what is wrong with a configuration. It
+// must never hold a decision or a tuned value, nor keep the settings in a record of its own.
+package setup
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+
+	"github.com/tidwall/gjson"
+
+	"onyxgate/policy"
+)
+
+var (
+	effects = map[string]policy.Effect{"repeatable": policy.InquiryLike, "by_key": policy.Referenced,
+		"once": policy.OnceOnly}
+	groups   = map[string]policy.Group{"all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
+	controls = map[string]policy.Control{"single": policy.Single, "majority": policy.Majority,
+		"clocked": policy.Clocked}
+)
+
+// Module hands each part of a new module its own settings.
+func Module(port policy.Port, seed uint64, s gjson.Result) *policy.Agent {
+	rules, fam, lim := s.Get("contract"), s.Get("family-info"), s.Get("limits")
+	a := policy.New(port, seed, int(s.Get("me").Int()), int(s.Get("balancers").Int()))
+	_, products := Products(s)
+	a.Serve(products, int(lim.Get("max-attempts").Int()), lim.Get("parallel-tries").Bool(), lim.Get("cancel").Bool())
+	a.Share(lim.Get("peers").Bool())
+	a.Probing(lim.Get("probes").Bool())
+	wait := 0.0
+	if lim.Get("retry-after").Bool() {
+		wait = Ms(lim.Get("max-retry-after-us"))
+	}
+	a.Advise(wait)
+	a.Zone(int(s.Get("zone").Int()), s.Get("tariffs.cross-zone").Num > 0)
+	a.Watch(Asked(s), Ms(rules.Get("drain-grace-us")), Ms(rules.Get("ask-every-us")))
+	a.Warm(rules.Get("cold-from").Num, Ms(rules.Get("warm-up-us")), rules.Get("overload-factor").Num,
+		Ms(rules.Get("fall-us")))
+	a.Expose(fam.Get("spare-tries").Num, numbers(fam.Get("most-shares")), int(fam.Get("guarded-stages").Int()),
+		fam.Get("counted-by").Str == "per_lane", fam.Get("keys-stay").Bool())
+	a.Judge(numbers(fam.Get("rings")), controls[fam.Get("decided-by").Str], int(fam.Get("back-votes").Int()),
+		Ms(fam.Get("ballot-ttl-us")))
+	quotas := []float64{}
+	s.Get("customers").ForEach(func(_, c gjson.Result) bool {
+		quotas = append(quotas, c.Get("quota-per-s").Num/1000)
+		return true
+	})
+	a.Tenants(quotas, s.Get("over-share-worth").Num)
+	return a
+}
+
+// Products are the products' names and figures, under one index.
+func Products(s gjson.Result) (names []string, products []policy.Product) {
+	s.Get("grades").ForEach(func(_, g gjson.Result) bool {
+		names = append(names, g.Get("name").Str)
+		products = append(products, policy.Product{
+			SLA: Ms(g.Get("aim-us")), Stretch: g.Get("aim-stretch").Num, Expiry: Ms(g.Get("deadline-us")),
+			Revenue: g.Get("worth").Num, Late: g.Get("late-value").Num, Effect: effects[g.Get("effect").Str],
+			Group: groups[g.Get("key-scope").Str], Remember: Ms(g.Get("key-ttl-us")), Streamed: g.Get("streamed").Bool(),
+		})
+		return true
+	})
+	return names, products
+}
+
+// Asked tells that the list comes only to those who ask for it.
+func Asked(s gjson.Result) bool { return s.Get("discovery").Str == "subscribe" }
+
+// Reported tells whether answers, and probes, may carry load reports.
+func Reported(s gjson.Result) (answers, probes bool) {
+	source := s.Get("report.source").Str
+	return source == "answers", source == "answers" || source == "probe"
+}
+
+// Connecting is how long a connection may take to come up and how long one may stand idle.
+func Connecting(s gjson.Result) (up, idle float64) {
+	return Ms(s.Get("limits.connect-timeout-us")), Ms(s.Get("limits.idle-close-us"))
+}
+
+// Called is how long a vote is waited for.
+func Called(s gjson.Result) float64 { return Ms(s.Get("family-info.call-timeout-us")) }
+
+// Places are the names of zones and kinds of machine, which the module knows by number.
+func Places(s gjson.Result) (zones, kinds []string) { return words(s.Get("dcs")), words(s.Get("skus")) }
+
+// Open is how many txns may be held at once; 0: nothing is said of it.
+func Open(s gjson.Result) int { return int(s.Get("limits.max-open").Int()) }
+
+// Limits are the socket and memory limits; 0: none.
+func Limits(config gjson.Result) (sockets, memoryMB int) {
+	return int(config.Get("limits.sockets").Int()), int(config.Get("limits.memory_mb").Int())
+}
+
+// Cores is how many threads may work at once; 0: nothing is said of it.
+func Cores(config gjson.Result) int { return int(math.Ceil(config.Get("limits.cores").Num)) }
+
+// Seed starts chance.
+func Seed(config gjson.Result) (uint64, error) {
+	return strconv.ParseUint(config.Get("seed").Str, 16, 64)
+}
+
+// Wrong says what keeps a configuration from being used, one line each.
+func Wrong(config gjson.Result) (lines []string) {
+	wrong := func(bad bool, format string, args ...any) {
+		if bad {
+			lines = append(lines, fmt.Sprintf(format, args...))
+		}
+	}
+	address := func(name, value string) {
+		_, _, err := net.SplitHostPort(value)
+		wrong(err != nil, "%s is not an address: %q", name, value)
+	}
+	address("listen", config.Get("listen").Str)
+	address("discovery", config.Get("discovery").Str)
+	address("pipeline.address", config.Get("pipeline.address").Str)
+	_, err := Seed(config)
+	wrong(err != nil, "seed is not a hexadecimal number: %q", config.Get("seed").Str)
+	wrong(!config.Get("pipeline.news").IsObject(), "pipeline.news is missing")
+	wrong(!config.Get("known.servers").IsArray(), "known.servers is missing")
+	sockets, memory := Limits(config)
+	wrong(sockets < 0 || sockets > 0 && sockets < 24, "limits.sockets leaves no room for work: %d", sockets)
+	wrong(memory < 0 || memory > 0 && memory < 24, "limits.memory_mb leaves no room for work: %d", memory)
+	s := config.Get("settings")
+	wrong(!s.IsObject(), "settings is missing")
+	names, products := Products(s)
+	wrong(len(names) == 0, "settings.grades names no product")
+	for i, p := range products {
+		wrong(names[i] == "", "settings.grades.%d has no name", i)
+		_, known := effects[s.Get(fmt.Sprintf("grades.%d.effect", i)).Str]
+		wrong(!known, "settings.grades.%d.effect is unknown", i)
+		wrong(p.SLA <= 0 || p.Expiry <= 0, "settings.grades.%d has no aim-us or deadline-us", i)
+	}
+	wrong(s.Get("limits.max-attempts").Int() < 1, "settings.limits.max-attempts allows no submission")
+	up, idle := Connecting(s)
+	wrong(up <= 0 || idle <= 0, "settings.limits has no connect-timeout-us or idle-close-us")
+	wrong(Called(s) <= 0, "settings.family-info.call-timeout-us is missing")
+	_, known := controls[s.Get("family-info.decided-by").Str]
+	wrong(!known, "settings.family-info.decided-by is unknown: %q", s.Get("family-info.decided-by").Str)
+	return lines
+}
+
+// Ms reads microseconds.
+func Ms(v gjson.Result) float64 { return float64(v.Int()) / 1000 }
+
+func numbers(list gjson.Result) (out []float64) {
+	for _, v := range list.Array() {
+		out = append(out, v.Num)
+	}
+	return out
+}
+
+func words(list gjson.Result) (out []string) {
+	for _, v := range list.Array() {
+		out = append(out, v.Str)
+	}
+	return out
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -11,18 +11,16 @@
 
 	"github.com/tidwall/gjson"
 
+	"onyxgate/internal/setup"
 	"onyxgate/policy"
 )
 
 // The wire's words and numbers, in the module's terms.
 var (
-	results  = [...]policy.Result{0, policy.Settled, policy.Errored, policy.Rejected, policy.TimedOut, policy.Unconnected, policy.Broken, policy.Revoked, policy.Moot}
-	replies  = map[int64]policy.Reply{1: policy.Counted, 2: policy.Refused, 3: policy.Refused, 4: policy.Silent, 8: policy.Idle}
-	phases   = [...]policy.Phase{policy.OnTrial, policy.GoingBack, policy.Released, policy.Withdrawn}
-	states   = map[string]policy.State{"on": policy.Running, "fading": policy.Draining, "off": policy.Gone}
-	effects  = map[string]policy.Effect{"repeatable": policy.InquiryLike, "by_key": policy.Referenced, "once": policy.OnceOnly}
-	groups   = map[string]policy.Group{"all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
-	controls = map[string]policy.Control{"single": policy.Single, "majority": policy.Majority, "clocked": policy.Clocked}
+	results = [...]policy.Result{0, policy.Settled, policy.Errored, policy.Rejected, policy.TimedOut, policy.Unconnected, policy.Broken, policy.Revoked, policy.Moot}
+	replies = map[int64]policy.Reply{1: policy.Counted, 2: policy.Refused, 3: policy.Refused, 4: policy.Silent, 8: policy.Idle}
+	phases  = [...]policy.Phase{policy.OnTrial, policy.GoingBack, policy.Released, policy.Withdrawn}
+	states  = map[string]policy.State{"on": policy.Running, "fading": policy.Draining, "off": policy.Gone}
 )
 
 // Serve answers batches from r on w until r ends.
@@ -72,7 +70,7 @@
 	if clock.Type != gjson.Number || !b.Get("agents").IsArray() {
 		return errors.New("a batch without now-us or agents")
 	}
-	now := ms(clock)
+	now := setup.Ms(clock)
 	h.reply = append(h.reply[:0], `{"agents":[`...)
 	var err error
 	// A pool belongs to the process and may stand beside the instances or among their events.
@@ -138,7 +136,7 @@
 	case "pool":
 		return h.pool(f)
 	case "init":
-		in.agent = start(in, f)
+		in.agent = setup.Module(in, f.Get("prng").Uint(), f.Get("profile-data"))
 		return nil
 	}
 	a := in.agent
@@ -162,7 +160,7 @@
 		a.List(now, h.pools[slot], form != "D", form == "C")
 	case "knock":
 		a.Txn(now, id, f.Get("affinity").Str, int(f.Get("kind").Int()), int(f.Get("owner").Int()),
-			f.Get("is-retry").Bool(), ms(f.Get("time-budget-us")), ms(f.Get("hint-us")))
+			f.Get("is-retry").Bool(), setup.Ms(f.Get("time-budget-us")), setup.Ms(f.Get("hint-us")))
 	case "head-received":
 		a.Began(now, id, int(f.Get("copy").Int()))
 	case "done":
@@ -171,14 +169,14 @@
 			return fmt.Errorf("outcome %d", how)
 		}
 		waiting, busy := load(f.Get("feedback"))
-		a.Outcome(now, id, int(f.Get("copy").Int()), results[how], f.Get("final").Bool(), ms(f.Get("took-us")), waiting, busy)
+		a.Outcome(now, id, int(f.Get("copy").Int()), results[how], f.Get("final").Bool(), setup.Ms(f.Get("took-us")), waiting, busy)
 	case "hangup":
 		a.Hangup(now, id)
 	case "wakeup":
 		a.Wake(now, f.Get("label").Uint())
 	case "checked":
 		waiting, busy := load(f.Get("feedback"))
-		a.Probed(now, app, f.Get("how").Int() == 1, ms(f.Get("took-us")), waiting, busy)
+		a.Probed(now, app, f.Get("how").Int() == 1, setup.Ms(f.Get("took-us")), waiting, busy)
 	case "mail":
 		if raw, err := base64.StdEncoding.DecodeString(f.Get("raw").Str); err == nil {
 			a.Told(now, raw)
@@ -193,12 +191,12 @@
 			reply = replies[f.Get("status").Int()]
 		}
 		a.News(now, int(f.Get("ver").Int()), int(f.Get("wave").Int()), phases[phase], reply,
-			f.Get("ceiling").Num, ms(f.Get("old-us")), f.Get("status").Int() == 1)
+			f.Get("ceiling").Num, setup.Ms(f.Get("old-us")), f.Get("status").Int() == 1)
 	case "counts-by-build":
 		a.Counted(now, int(f.Get("ver").Int()), int(f.Get("kind").Int()), int(f.Get("many").Int()),
-			int(f.Get("bad").Int()), ms(f.Get("took-us")))
+			int(f.Get("bad").Int()), setup.Ms(f.Get("took-us")))
 	case "reported-wrong":
-		a.ReportedWrong(now, app, int(f.Get("kind").Int()), ms(f.Get("old-us")))
+		a.ReportedWrong(now, app, int(f.Get("kind").Int()), setup.Ms(f.Get("old-us")))
 	default:
 		return errors.New("unknown event")
 	}
@@ -214,7 +212,7 @@
 	f.Get("items").ForEach(func(_, e gjson.Result) bool {
 		list = append(list, policy.Listed{
 			ID: e.Get("appliance").Str, Build: int(e.Get("ver").Num), State: states[e.Get("condition").Str],
-			Rating: e.Get("rating").Num, Start: ms(e.Get("boot-time-us")), Zone: int(e.Get("site").Int()),
+			Rating: e.Get("rating").Num, Start: setup.Ms(e.Get("boot-time-us")), Zone: int(e.Get("site").Int()),
 			Kind: int(e.Get("machine").Int()), Cell: int(e.Get("stripe").Int()),
 		})
 		return true
@@ -223,53 +221,6 @@
 	return nil
 }
 
-// start reads the settings and hands each part of a new module its own.
-func start(in *instance, f gjson.Result) *policy.Agent {
-	s := f.Get("profile-data")
-	rules, fam, lim := s.Get("contract"), s.Get("family-info"), s.Get("limits")
-	var products []policy.Product
-	s.Get("grades").ForEach(func(_, g gjson.Result) bool {
-		products = append(products, policy.Product{
-			SLA: ms(g.Get("aim-us")), Stretch: g.Get("aim-stretch").Num, Expiry: ms(g.Get("deadline-us")),
-			Revenue: g.Get("worth").Num, Late: g.Get("late-value").Num, Effect: effects[g.Get("effect").Str],
-			Group: groups[g.Get("key-scope").Str], Remember: ms(g.Get("key-ttl-us")), Streamed: g.Get("streamed").Bool(),
-		})
-		return true
-	})
-	a := policy.New(in, f.Get("prng").Uint(), int(s.Get("me").Int()), int(s.Get("balancers").Int()))
-	a.Serve(products, int(lim.Get("max-attempts").Int()), lim.Get("parallel-tries").Bool(), lim.Get("cancel").Bool())
-	a.Share(lim.Get("peers").Bool())
-	a.Probing(lim.Get("probes").Bool())
-	wait := 0.0
-	if lim.Get("retry-after").Bool() {
-		wait = ms(lim.Get("max-retry-after-us"))
-	}
-	a.Advise(wait)
-	a.Zone(int(s.Get("zone").Int()), s.Get("tariffs.cross-zone").Num > 0)
-	a.Watch(s.Get("discovery").Str == "subscribe", ms(rules.Get("drain-grace-us")), ms(rules.Get("ask-every-us")))
-	a.Warm(rules.Get("cold-from").Num, ms(rules.Get("warm-up-us")), rules.Get("overload-factor").Num, ms(rules.Get("fall-us")))
-	a.Expose(fam.Get("spare-tries").Num, numbers(fam.Get("most-shares")), int(fam.Get("guarded-stages").Int()),
-		fam.Get("counted-by").Str == "per_lane", fam.Get("keys-stay").Bool())
-	a.Judge(numbers(fam.Get("rings")), controls[fam.Get("decided-by").Str], int(fam.Get("back-votes").Int()),
-		ms(fam.Get("ballot-ttl-us")))
-	quotas := []float64{}
-	s.Get("customers").ForEach(func(_, c gjson.Result) bool {
-		quotas = append(quotas, c.Get("quota-per-s").Num/1000)
-		return true
-	})
-	a.Tenants(quotas, s.Get("over-share-worth").Num)
-	return a
-}
-
-func numbers(list gjson.Result) []float64 {
-	var out []float64
-	list.ForEach(func(_, v gjson.Result) bool {
-		out = append(out, v.Num)
-		return true
-	})
-	return out
-}
-
 // load reads what a load report may tell; -1 stands for a figure that is not there.
 func load(f gjson.Result) (waiting, busy float64) {
 	waiting, busy = -1, -1
@@ -284,8 +235,6 @@
 	return waiting, busy
 }
 
-func ms(v gjson.Result) float64 { return float64(v.Int()) / 1000 }
-
 // act writes one action; fields come as name and value in turn.
 func (in *instance) act(name string, fields ...any) {
 	if len(in.out) > 0 {
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math/rand/v2"
 )
 
 func (a *Agent) arm() {
@@ -38,6 +39,11 @@
 	return g.x
 }
 
+// Chance is a generator started from a seed.
+func Chance(seed uint64) *rand.Rand {
+	return rand.New(&mwc{x: seed&0xffffffff | 1, c: seed >> 32 % 4294957664})
+}
+
 // mwc is a lag-1 multiply-with-carry generator.
 type mwc struct{ x, c uint64 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -167,10 +167,9 @@
 
 // New makes an agent; seed starts its generator.
 func New(port Port, seed uint64, me, agents int) *Agent {
-	g := &mwc{x: seed&0xffffffff | 1, c: seed >> 32 % 4294957664}
-	a := &Agent{port: port, rnd: rand.New(g), agents: max(agents, 1), txns: map[string]*txn{}}
+	a := &Agent{port: port, rnd: Chance(seed), agents: max(agents, 1), txns: map[string]*txn{}}
 	a.armed, a.recallAt, a.flow = math.Inf(1), math.Inf(1), [2]float64{1, 1}
-	a.salt = g.Uint64()
+	a.salt = a.rnd.Uint64()
 	a.allow, a.ties, a.sightings = map[int][]float64{}, map[string]int{}, map[string]float64{}
 	a.index, a.hashes, a.me = map[string]int{}, map[uint32]int{}, me
 	a.judgeAt = math.Inf(1)
