--- a/cmd/onyxgate/main.go
+++ b/cmd/onyxgate/main.go
@@ -33,7 +33,7 @@
 	Listen        string        `env:"NODE_LISTEN" help:"Where clients connect, in place of the configuration's."`
 	Discovery     string        `env:"NODE_DISCOVERY" help:"Discovery's address, in place of the configuration's."`
 	Level         string        `env:"ONYXGATE_LOG" default:"info" enum:"debug,info,warn,error" help:"Least level that is logged."`
-	Every         time.Duration `default:"5s" help:"Time between two lines of counts."`
+	Every         time.Duration `default:"1s" help:"Time between two lines of counts."`
 }
 
 type check struct {
@@ -127,6 +127,7 @@
 	}
 	if memoryMB > 0 { // the rest is for stacks, the program itself and what the collector is late with
 		debug.SetMemoryLimit(int64(memoryMB) << 20 * 6 / 10)
+		debug.SetGCPercent(1000) // little is live: at the usual 100 the collector would run many times a second
 	}
 	listener, err := net.Listen("tcp", or(s.Listen, "listen"))
 	if err != nil {
@@ -214,11 +215,11 @@
 func (s serve) line(c *core.Core, front *httpwire.Front, budget *httpwire.Sockets, parts *calls) {
 	n := c.Counts()
 	opened, idle, unsent := parts.Upstream.Connections()
-	all, clients := budget.Used()
+	all, clients, resting := budget.Used()
 	version, listed := parts.Discovery.Version()
 	logrus.WithFields(logrus.Fields{"taken": n.Taken, "settled": n.Settled, "declined": n.Declined, "voided": n.Voided,
 		"gone": n.Gone, "bad_input": front.Refused.Load(), "open": n.Open, "out": n.Out,
 		"ends":    fmt.Sprint(n.Ends[policy.Settled:]),
-		"sockets": all, "clients": clients, "opened": opened, "idle": idle, "unsent": unsent, "list": version, "listed": listed,
+		"sockets": all, "clients": clients, "clients_idle": resting, "opened": opened, "idle": idle, "unsent": unsent, "list": version, "listed": listed,
 		"timers": n.Timers, "broken": must.Broken()}).Info("counts")
 }
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -71,7 +71,7 @@
 	quietLog := logrus.StandardLogger().WriterLevel(logrus.DebugLevel)
 	return &http.Server{Handler: f, ReadHeaderTimeout: headWait, MaxHeaderBytes: headMost,
 		ErrorLog: log.New(quietLog, "", 0), ConnState: func(c net.Conn, state http.ConnState) {
-			if state == http.StateIdle {
+			if state == http.StateIdle || state == http.StateNew {
 				f.sockets.Idle(c)
 			} else {
 				f.sockets.Busy(c)
@@ -80,7 +80,7 @@
 }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.leaving.Load() || f.sockets.Short() {
+	if f.leaving.Load() || f.sockets.Full() {
 		w.Header().Set("Connection", "close")
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -5,6 +5,7 @@
 // while a descriptor is left: what waits in the backlog may already be a txn taken.
 
 import (
+	"container/list"
 	"errors"
 	"net"
 	"sync"
@@ -23,20 +24,21 @@
 // Sockets counts connections against the budget. Clients may fill clientPart of it and appliances the rest; each may
 // use what the other leaves.
 type Sockets struct {
-	mu       sync.Mutex
-	limit    int
-	used     int
-	clients  int
-	idle     map[net.Conn]int // clients between two txns, by when they became so
-	turn     int
-	shed     func() bool // closes one idle connection to an appliance
-	shortAt  time.Time
-	Shortage int
+	mu      sync.Mutex
+	limit   int
+	used    int
+	clients int
+	idle    *list.List  // clients' connections that carry no txn, the longest so first
+	shed    func() bool // closes one idle connection to an appliance
+	shortAt time.Time
 }
 
 const (
-	clientPart = 0.7
-	acceptMost = 20 * time.Millisecond // that a connection waits for another to end; it may hold a txn
+	clientPart = 0.75
+	acceptMost = 50 * time.Millisecond // that one more connection waits for another to go: it may hold a txn
+	// A connection used or opened less than this ago is about to be used: closing it loses a txn on its way, and the
+	// client's next connection costs more than it frees.
+	restMost = 250 * time.Millisecond
 )
 
 // NewSockets makes a budget; 0 means no limit.
@@ -44,118 +46,135 @@
 	if limit <= 0 {
 		limit = 1 << 20
 	}
-	return &Sockets{limit: max(limit-reserve, 4), idle: map[net.Conn]int{}, shed: func() bool { return false }}
+	return &Sockets{limit: max(limit-reserve, 4), idle: list.New(), shed: func() bool { return false }}
 }
 
-// Used counts what is open, and clients' part of it.
-func (s *Sockets) Used() (all, clients int) {
+// Used counts what is open, clients' part of it, and those of them that carry no txn.
+func (s *Sockets) Used() (all, clients, idle int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.used, s.clients
+	return s.used, s.clients, s.idle.Len()
 }
 
-func (s *Sockets) crowded() bool { return float64(s.clients) >= clientPart*float64(s.limit) }
-
-// Short tells that clients' part is used up, so that their connections had better end with their txns.
-func (s *Sockets) Short() bool {
+// Full tells that nothing is left, so that a client's connection had better end with its txn.
+func (s *Sockets) Full() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crowded() || s.used >= s.limit
+	return s.used >= s.limit
 }
 
 // room makes room for one more: idle connections go first, clients' where these are many. It tells whether there is.
 func (s *Sockets) room(client bool) bool {
 	for tries := 0; ; tries++ {
 		s.mu.Lock()
-		crowded, full := s.crowded(), s.used >= s.limit
+		crowded, full := float64(s.clients) >= clientPart*float64(s.limit), s.used >= s.limit
 		short := full || client && crowded
-		if short && time.Since(s.shortAt) > time.Second {
+		warn := full && tries > 0 && time.Since(s.shortAt) > 5*time.Second
+		if warn {
 			s.shortAt = time.Now()
-			s.Shortage++
-			logrus.WithFields(logrus.Fields{"open": s.used, "clients": s.clients, "limit": s.limit}).Warn("sockets run short")
+			logrus.WithFields(logrus.Fields{"open": s.used, "clients": s.clients, "limit": s.limit}).
+				Warn("sockets run short, and none is idle")
 		}
 		s.mu.Unlock()
-		if !short || tries > 1 {
+		if !short || tries > 0 {
 			return !short
 		}
-		if crowded {
-			s.shedClient()
-		} else if !s.shed() {
+		if !(crowded && s.shedClient()) && full && !s.shed() {
 			s.shedClient()
 		}
 	}
 }
 
 // shedClient closes the client connection that has been idle longest, unless something has come on it unread.
-func (s *Sockets) shedClient() {
-	s.mu.Lock()
-	var oldest net.Conn
-	for c, turn := range s.idle {
-		if oldest == nil || turn < s.idle[oldest] {
-			oldest = c
+func (s *Sockets) shedClient() bool {
+	for range 8 {
+		s.mu.Lock()
+		first := s.idle.Front()
+		if first == nil {
+			s.mu.Unlock()
+			return false
+		}
+		c := first.Value.(*counted)
+		if time.Since(c.since) < restMost {
+			s.mu.Unlock()
+			return false
+		}
+		s.busy(c)
+		s.mu.Unlock()
+		if quiet(c) {
+			c.Close()
+			return true
 		}
 	}
-	delete(s.idle, oldest)
-	s.mu.Unlock()
-	if oldest != nil && quiet(oldest) {
-		oldest.Close()
-	}
+	return false
 }
 
 // Idle and Busy follow a client connection between txns.
-func (s *Sockets) Idle(c net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turn++
-	s.idle[c] = s.turn
+func (s *Sockets) Idle(conn net.Conn) {
+	if c, ok := conn.(*counted); ok {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if c.place == nil && !c.closed {
+			c.place, c.since = s.idle.PushBack(c), time.Now()
+		}
+	}
 }
 
-func (s *Sockets) Busy(c net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.idle, c)
+func (s *Sockets) Busy(conn net.Conn) {
+	if c, ok := conn.(*counted); ok {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.busy(c)
+	}
+}
+
+func (s *Sockets) busy(c *counted) {
+	if c.place != nil {
+		s.idle.Remove(c.place)
+		c.place = nil
+	}
 }
 
 // CloseIdle closes clients' connections that carry nothing.
 func (s *Sockets) CloseIdle() {
-	s.mu.Lock()
-	n := len(s.idle)
-	s.mu.Unlock()
-	for range n {
-		s.shedClient()
+	for s.shedClient() {
 	}
 }
 
 // hold counts a connection until it is closed.
-func (s *Sockets) hold(c net.Conn, client bool) net.Conn {
+func (s *Sockets) hold(conn net.Conn, client bool) net.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.used++
 	if client {
 		s.clients++
 	}
-	return &counted{Conn: c, sockets: s, client: client}
+	return &counted{Conn: conn, sockets: s, client: client}
 }
 
 type counted struct {
 	net.Conn
 	sockets *Sockets
 	client  bool
-	once    sync.Once
+	closed  bool
+	place   *list.Element // among the idle
+	since   time.Time
 }
 
 func (c *counted) Close() error {
 	err := c.Conn.Close()
-	c.once.Do(func() {
-		c.sockets.mu.Lock()
-		defer c.sockets.mu.Unlock()
-		c.sockets.used--
+	s := c.sockets
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		s.used--
 		if c.client {
-			c.sockets.clients--
-			delete(c.sockets.idle, c)
+			s.clients--
+			s.busy(c)
 		}
-		must.Hold(c.sockets.used >= 0 && c.sockets.clients >= 0, "a connection is closed once", c.sockets.used)
-	})
+		must.Hold(s.used >= 0 && s.clients >= 0, "a connection is closed once", s.used)
+	}
 	return err
 }
 
@@ -189,21 +208,17 @@
 }
 
 func (l Listener) Accept() (net.Conn, error) {
-	for from := time.Now(); !l.Sockets.room(true) && time.Since(from) < acceptMost; {
-		time.Sleep(time.Millisecond)
-	}
-	for {
+	for from := time.Now(); ; time.Sleep(time.Millisecond) {
+		if !l.Sockets.room(true) && time.Since(from) < acceptMost {
+			continue // appliances' part is kept for them: without it no txn that is held would get on
+		}
 		c, err := l.Listener.Accept()
 		if err == nil {
 			return l.Sockets.hold(c, true), nil
 		}
+		// With no descriptor left the connection waits in the backlog until one is.
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) {
 			return nil, err
 		}
-		// No descriptor is left: the connection waits in the backlog until one is.
-		if !l.Sockets.shed() {
-			l.Sockets.shedClient()
-		}
-		time.Sleep(time.Millisecond)
 	}
 }
