An appliance answers for its own time, not for what a txn waited at the agent

Held txns are placed oldest first, at the last moment, so each answer came past the SLA time and lowered the limit further.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,8 +37,6 @@
 	tellPause   = 500
 	noteMost    = 250 // bytes in a message
 	heatTime    = 3000
-	hotAt       = 1.6 // times the latency before the build: hot
-	hotEnds     = 1.35
 	hotLong     = 7000
 	releaseTail = 500 // after a release, by which all traffic has moved over
 	demandMore  = 1.3 // times the txns before the build: the cause of any heat
@@ -50,8 +48,7 @@
 	paceTime     = 4000 // over which the load that warm appliances bear is averaged
 	doubtTime    = 5000 // over which an appliance's record fades
 	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
-	limitUp      = 0.20 // open submissions more at an appliance for each answer in time
-	limitDown    = 4.0  // and fewer for each late one
+	blameFrom    = 0.25 // of the SLA time: an answer within it is no fault of the appliance
 	limitBinds   = 0.6  // part of the limit from which it is taken to bind
 	limitFirst   = 4
 	flowDown     = 0.4   // part fewer of the txns taken on, for each that tells of a shortage
@@ -62,12 +59,10 @@
 	limitLeast   = 2     // for all agents together
 	purseTime    = 2000  // over which a tenant's share may be used unevenly
 	crossZone    = 1.5   // times the load it has: an appliance in another zone, where crossing is priced
-	restFirst    = 20    // an appliance's rest after a quick failure
-	restMost     = 1000
-	reportTime   = 1500 // over which a load report fades: it was late and noisy when it came
-	manyAgents   = 10   // from which own open work tells too little of an appliance's load
-	racers       = 2    // appliances probed for a txn at once, and times that this is done
-	raceTime     = 0.12 // of the SLA time, before a place is picked without an answer
+	reportTime   = 1500  // over which a load report fades: it was late and noisy when it came
+	manyAgents   = 10    // from which own open work tells too little of an appliance's load
+	racers       = 2     // appliances probed for a txn at once, and times that this is done
+	raceTime     = 0.12  // of the SLA time, before a place is picked without an answer
 	mostTries    = 40
 	stoodStill   = 60   // a timer this late: the agent itself stood still
 	choices      = 6    // random appliances compared for a place: an agent sees but its own part of the load
@@ -76,22 +71,23 @@
 	retryPause   = 25   // between looks for a place
 	endGuard     = 12   // the final answer leaves so long before the expiry
 	judgePause   = 200  // between looks at the evidence and sums over the fleet
-	renewAt      = 0.7  // of a vote's life
-	renewSpread  = 0.2  // and up to this later, so that renewals scatter
 	idlePause    = 3000 // after an answer that the vote does not fit, unless the stage changes
 	votePause    = 300  // before a vote that did not count is sent again
 	usualMost    = 0.5  // of the SLA time: what an answer is taken to need at the most
-	usualStep    = 0.02 // weight of one answer in a usual figure
-	relStep      = 0.1  // the same for one appliance
 	adviseLeast  = 0.25 // of the longest wait that clients follow: the advice, and up to
 	adviseSpread = 0.5  // this more, so that they do not come back together
 	relMost      = 10   // times the usual: what one answer counts at the most
 	lowPart      = 0.3  // the quantile that is taken for a low latency
 	steadyLeast  = 12   // outcomes of a machine whose halves are compared
 	capPart      = 0.9  // of the cap: the trial share that is aimed at
-	askFirst     = 0.02 // of the time within which the list must be asked for: the first pause after a failure
-	askMost      = 0.3
-	popularShare = 0.2 // of the cap: a key with more of the txns is not taken into a trial
+	popularShare = 0.2  // of the cap: a key with more of the txns is not taken into a trial
+
+	hotAt, hotEnds       = 1.6, 1.35 // times the latency before the build: hot, and no longer so
+	limitUp, limitDown   = 0.20, 4.0 // open submissions more for an answer in time, fewer for a late one
+	restFirst, restMost  = 20, 1000  // an appliance's rest after a quick failure, and after many
+	renewAt, renewSpread = 0.7, 0.2  // of a vote's life, and up to this later, so that renewals scatter
+	usualStep, relStep   = 0.02, 0.1 // weight of one answer in a usual figure, and in one appliance's
+	askFirst, askMost    = 0.02, 0.3 // of the time in which the list must be asked for: pauses after failures
 )
 
 // rules are gone through in order after every input, from the top again after each that fires.
@@ -240,6 +236,10 @@
 	return a.now >= a.restUntil[i] && float64(a.open[i]) < here && float64(a.openAll) < all
 }
 
+// due is when an answer is late by its appliance's doing. What the txn waited here is not: where few machines
+// may serve a key all come to them at the last moment, and limits would fall until nothing gets there.
+func (a *Agent) due(t *txn) float64 { return max(t.sla, a.now+blameFrom*a.products[t.product].SLA) }
+
 // press moves the limit: up while answers are in time and it binds, down for late ones.
 func (a *Agent) press(i int, good bool) {
 	was := a.limit[i]
@@ -366,7 +366,7 @@
 	t := a.todo[0]
 	a.next()
 	for k := range t.subs {
-		if s := &t.subs[k]; s.out && !s.late && a.now >= t.sla {
+		if s := &t.subs[k]; s.out && !s.late && a.now >= s.due {
 			s.late = true
 			a.note(s.app, false)
 			a.press(s.app, false)
@@ -471,7 +471,7 @@
 
 // ended draws the conclusions from one submission's end.
 func (a *Agent) ended(t *txn, s *submission, r Result, took float64) {
-	good := r == Settled && a.now <= t.sla
+	good := r == Settled && a.now <= s.due
 	a.rest(s.app, r)
 	if a.now == a.wokeAt && r == Settled {
 		// What took so long may be the agent's own pause: no word on the appliance, the load or the build.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -595,3 +595,26 @@
 		t.Errorf("%d at once, %d after a second", at[5], at[1000])
 	}
 }
+
+// An appliance answers for its own time, not for what a txn waited here before it was placed.
+func TestBlame(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		waited, took   float64
+		lowers, raises bool
+	}{{"in time", 0, 300, false, true}, {"late by the wait here", 950, 100, false, true},
+		{"slow after a wait", 950, 400, true, false}, {"slow", 0, 1100, true, false}} {
+		a, r := tier(Product{}, 1)
+		a.Txn(2, "t", "", 0, 0, false, 4000, 0)
+		a.txns["t"].sla -= c.waited
+		a.txns["t"].subs[0].due = a.due(a.txns["t"])
+		a.limit[0] = 1.5
+		was := a.limit[0]
+		a.Wake(2+c.took, 0)
+		a.Outcome(2+c.took, "t", 0, Settled, true, c.took, -1, -1)
+		r.take()
+		if got := a.limit[0]; got < was != c.lowers || got > was != c.raises {
+			t.Errorf("%s: the limit went from %.1f to %.1f", c.name, was, got)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -9,7 +9,7 @@
 // submission is one try of a txn at an appliance.
 type submission struct {
 	app, build int
-	at         float64
+	at, due    float64
 	out        bool // no outcome yet
 	unrun      bool // proven not to have run
 	late       bool // already held against the appliance
@@ -284,7 +284,7 @@
 	if a.coldness(i) < 1 {
 		a.level[i] -= t.work
 	}
-	t.subs = append(t.subs, submission{app: i, build: a.builds[i], at: a.now, out: true})
+	t.subs = append(t.subs, submission{app: i, build: a.builds[i], at: a.now, due: a.due(t), out: true})
 	t.out++
 	a.open[i]++
 	a.openAll++
@@ -294,7 +294,7 @@
 func (a *Agent) place(t *txn, i int) {
 	t.held = false
 	a.send(t, i)
-	a.look(t.sla, t)
+	a.look(t.subs[len(t.subs)-1].due, t)
 }
 
 func (a *Agent) tried(t *txn, i int) bool {
