A txn costs less: submissions in the handler, one guard heap, answers read by hand

Seen: 130 us of CPU a txn at the busiest agent. Goroutine, contexts and timers per submission gone; a submission runs in its txn's handler and is interrupted by its connection's deadline; the guard is one heap.

--- a/cmd/onyxgate/main.go
+++ b/cmd/onyxgate/main.go
@@ -151,7 +151,8 @@
 	if memoryMB > 0 {
 		room = int64(memoryMB) << 20 / 4
 	}
-	front := httpwire.NewFront(c, parts.Upstream, budget, names, products, setup.Open(settings), room)
+	front := httpwire.NewFront(c, parts.Upstream, budget, names, products, setup.Revokes(settings),
+		setup.Open(settings), room)
 
 	logrus.WithFields(logrus.Fields{"version": version, "name": or(s.Name, "name"), "listen": listener.Addr().String(),
 		"cpus": runtime.NumCPU(), "cores": runtime.GOMAXPROCS(0), "sockets": sockets, "memory_mb": memoryMB, "agents": settings.Get("balancers").Int(), "products": len(names),
@@ -217,7 +218,10 @@
 	opened, idle, unsent := parts.Upstream.Connections()
 	all, clients, resting := budget.Used()
 	version, listed := parts.Discovery.Version()
-	logrus.WithFields(logrus.Fields{"taken": n.Taken, "settled": n.Settled, "declined": n.Declined, "voided": n.Voided,
+	var usage syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	cpu := usage.Utime.Nano()/1e6 + usage.Stime.Nano()/1e6
+	logrus.WithFields(logrus.Fields{"cpu_ms": cpu, "taken": n.Taken, "settled": n.Settled, "declined": n.Declined, "voided": n.Voided,
 		"gone": n.Gone, "bad_input": front.Refused.Load(), "open": n.Open, "out": n.Out,
 		"ends":    fmt.Sprint(n.Ends[policy.Settled:]),
 		"sockets": all, "clients": clients, "clients_idle": resting, "opened": opened, "idle": idle, "unsent": unsent, "list": version, "listed": listed,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,6 @@
 
 import (
 	"container/heap"
-	"context"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -23,9 +22,13 @@
 	FetchList()
 }
 
-// guardLate is how far past a txn's time the guard looks: the module answers before it, and a client's time is kept
-// within some tens of milliseconds more.
-const guardLate = 15 * time.Millisecond
+const (
+	// guardLate (ms) is how far past a txn's time the guard looks: the module answers before it, and a client's time is
+	// kept within some tens of milliseconds more.
+	guardLate = 15.0
+	// ringApart: two alarms a txn would else wake the agent ten thousand times a second, a few at a time.
+	ringApart = time.Millisecond
+)
 
 // Core is one live agent's module with all that it needs to run.
 type Core struct {
@@ -124,27 +127,43 @@
 
 func (c *Core) ring() {
 	c.enter("timer", func(now float64) {
-		for len(c.timers) > 0 && c.timers[0].at <= now {
+		for len(c.timers) > 0 && c.timers[0].at <= now && c.timers[0].module() {
 			c.agent.Wake(now, heap.Pop(&c.timers).(timer).token)
 		}
 	})
 	c.mu.Lock() // apart from the event: should that fail, the timers go on
-	defer c.mu.Unlock()
-	c.rewind(c.Now())
+	now, late := c.Now(), []*Txn(nil)
+	for len(c.timers) > 0 && c.timers[0].at <= now && !c.timers[0].module() {
+		e := heap.Pop(&c.timers).(timer)
+		if e.sub != nil {
+			e.sub.timeOut()
+		} else if !e.txn.over || e.txn.out > 0 {
+			late = append(late, e.txn)
+		}
+	}
+	c.rewind(now)
+	c.mu.Unlock()
+	for _, t := range late {
+		t.late()
+	}
 }
 
 func (c *Core) rewind(now float64) {
 	if len(c.timers) > 0 {
-		// Up to the next microsecond: a timer that rings early would ring again at once.
-		c.wake.Reset(time.Duration((c.timers[0].at-now)*1e6) + time.Microsecond)
+		c.wake.Reset(max(time.Duration((c.timers[0].at-now)*1e6)+time.Microsecond, ringApart))
 	}
 }
 
+// timer is one of the module's, a txn's guard or the end of a submission's time.
 type timer struct {
 	at    float64
 	token uint64
+	txn   *Txn
+	sub   *Submission
 }
 
+func (e timer) module() bool { return e.txn == nil && e.sub == nil }
+
 type timers []timer
 
 func (h timers) Len() int           { return len(h) }
@@ -153,6 +172,7 @@
 func (h *timers) Push(x any)        { *h = append(*h, x.(timer)) }
 func (h *timers) Pop() any {
 	x := (*h)[len(*h)-1]
+	(*h)[len(*h)-1] = timer{}
 	*h = (*h)[:len(*h)-1]
 	return x
 }
@@ -167,15 +187,15 @@
 	Settle     // answer with Answer
 	Decline    // trying again is harmless, after Wait
 	Void
+	Leave // the client has gone: no answer
 )
 
 // Action is one entry of a txn's mailbox.
 type Action struct {
-	Do        Do
-	Sub       *Submission
-	Appliance string
-	Wait      float64
-	Answer    any
+	Do     Do
+	Sub    *Submission
+	Wait   float64
+	Answer any
 }
 
 // Txn is one txn from its arrival to its last submission's end.
@@ -183,46 +203,65 @@
 	ID     string
 	Expiry float64
 	core   *Core
+	start  func(*Submission)
+	busy   bool // its handler carries out a submission
 	bell   chan struct{}
 	mail   []Action
 	subs   []*Submission
 	out    int
 	over   bool // answered, or the client has gone
-	guard  *time.Timer
 }
 
-// Take hands a new txn to the module; left runs from the time at which it came. Nil: that id is held already.
-func (c *Core) Take(came float64, id, key string, product int, again bool, left float64) (t *Txn) {
+// Take hands a new txn to the module; left runs from the time at which it came. A submission that is wanted while the
+// handler carries out another goes to start, in a goroutine of its own. Nil: that id is held already.
+func (c *Core) Take(came float64, id, key string, product int, again bool, left float64,
+	start func(*Submission)) (t *Txn) {
 	c.enter("txn", func(now float64) {
 		if c.txns[id] != nil {
 			return
 		}
-		t = &Txn{ID: id, Expiry: came + left, core: c, bell: make(chan struct{}, 1)}
+		t = &Txn{ID: id, Expiry: came + left, core: c, start: start}
 		c.txns[id] = t
 		c.counts.Taken++
-		t.guard = time.AfterFunc(time.Duration((t.Expiry-now)*1e6)+guardLate, t.late)
+		heap.Push(&c.timers, timer{at: t.Expiry + guardLate, txn: t})
+		if c.timers[0].txn == t {
+			c.rewind(now)
+		}
 		c.agent.Txn(now, id, key, product, 0, again, t.Expiry-now, 0)
 	})
 	return t
 }
 
-// Bell rings when there is mail.
-func (t *Txn) Bell() <-chan struct{} { return t.bell }
-
-// Mail takes what has come.
-func (t *Txn) Mail() []Action {
-	t.core.mu.Lock()
-	defer t.core.mu.Unlock()
-	mail := t.mail
-	t.mail = nil
-	return mail
+// Next waits for the next action.
+func (t *Txn) Next() Action {
+	for {
+		t.core.mu.Lock()
+		if t.busy = false; len(t.mail) > 0 {
+			a := t.mail[0]
+			t.mail = t.mail[1:]
+			t.busy = a.Do == Submit
+			t.core.mu.Unlock()
+			return a
+		}
+		if t.bell == nil {
+			t.bell = make(chan struct{}, 1)
+		}
+		t.core.mu.Unlock()
+		<-t.bell
+	}
 }
 
 func (t *Txn) post(a Action) {
+	if a.Do == Submit && t.busy {
+		go t.start(a.Sub)
+		return
+	}
 	t.mail = append(t.mail, a)
-	select {
-	case t.bell <- struct{}{}:
-	default:
+	if t.bell != nil {
+		select {
+		case t.bell <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -231,7 +270,6 @@
 	if !t.over {
 		t.over = true
 		*count++
-		t.guard.Stop()
 		t.post(a)
 		t.forget()
 	}
@@ -243,53 +281,88 @@
 	}
 }
 
-// late is the standing guard: whatever failed, a txn taken is answered. The module is woken first, for its own
-// timer may only be as late as this one.
+// late is the standing guard: whatever failed, a txn taken is answered and its submissions end. The module is woken
+// first, for its own timer may only be as late as this one.
 func (t *Txn) late() {
-	if t.core.ring(); t.core.answered(t) {
-		return
-	}
-	must.Hold(false, "every txn is answered in time", t.ID)
 	t.core.enter("guard", func(now float64) {
-		t.finish(Action{Do: Void}, &t.core.counts.Voided)
-		t.core.agent.Hangup(now, t.ID)
+		if !t.over {
+			t.core.agent.Wake(now, 0)
+		}
+		if !must.Hold(t.over, "every txn is answered in time", t.ID) {
+			t.finish(Action{Do: Void}, &t.core.counts.Voided)
+			t.core.agent.Hangup(now, t.ID)
+		}
 	})
+	t.core.mu.Lock()
+	defer t.core.mu.Unlock()
+	for _, s := range t.subs {
+		s.timeOut()
+	}
 }
 
-func (c *Core) answered(t *Txn) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return t.over
-}
-
-// Close ends a txn's handling. Where no answer was given the client has gone, or the handler failed; submissions
-// that nobody took up were never sent.
-func (t *Txn) Close() {
+// Hangup tells that the client has gone.
+func (t *Txn) Hangup() {
 	t.core.enter("hangup", func(now float64) {
 		if !t.over {
-			t.over = true
-			t.core.counts.Gone++
-			t.guard.Stop()
+			t.finish(Action{Do: Leave}, &t.core.counts.Gone)
 			t.core.agent.Hangup(now, t.ID)
-			t.forget()
 		}
 	})
-	for _, a := range t.Mail() {
+}
+
+// Close ends a txn's handling. Where no answer was given the handler has failed; submissions that nobody took up were
+// never sent.
+func (t *Txn) Close() {
+	t.core.mu.Lock()
+	over, mail := t.over, t.mail
+	t.mail = nil
+	t.core.mu.Unlock()
+	if !over {
+		t.Hangup()
+	}
+	for _, a := range mail {
 		if a.Do == Submit {
 			a.Sub.End(policy.Moot, nil, -1, -1)
 		}
 	}
 }
 
-// Submission is one try at an appliance. Its context ends when the module calls it off or its time is up.
+// Halter is a call under way that can be interrupted without waiting.
+type Halter interface{ Halt() }
+
+// Submission is one try at an appliance.
 type Submission struct {
-	Ctx    context.Context
-	Until  float64
-	cancel context.CancelFunc
-	txn    *Txn
-	n      int
-	at     float64
-	over   bool
+	Appliance string
+	Until     float64
+	txn       *Txn
+	n         int
+	at        float64
+	over      bool
+	called    bool // off, by the module
+	late      bool // its time is up
+	halt      Halter
+}
+
+// Begin names what is to be interrupted when the submission is called off, or nothing any more; it tells how it stands.
+func (s *Submission) Begin(halt Halter) (called, late bool) {
+	c := s.txn.core
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.halt = halt
+	return s.called, s.late
+}
+
+func (s *Submission) timeOut() {
+	if !s.over && !s.called {
+		s.late = true
+		s.stop()
+	}
+}
+
+func (s *Submission) stop() {
+	if s.halt != nil {
+		s.halt.Halt()
+	}
 }
 
 // End tells how a submission ended; the first answer of all goes to the client.
@@ -300,7 +373,6 @@
 			return
 		}
 		s.over = true
-		s.cancel()
 		t.out--
 		c.counts.Out--
 		c.counts.Ends[r]++
@@ -327,12 +399,12 @@
 		must.Hold(false, "a submission belongs to a txn that is held", id)
 		return
 	}
-	until := t.Expiry
-	if limit > 0 {
-		until = min(until, now+limit)
+	s := &Submission{Appliance: appliance, Until: t.Expiry, txn: t, n: len(t.subs), at: now}
+	if limit > 0 && now+limit < s.Until {
+		s.Until = now + limit
+		heap.Push(&p.timers, timer{at: s.Until, sub: s})
+		(*Core)(p).rewind(now)
 	}
-	s := &Submission{Until: until, txn: t, n: len(t.subs), at: now}
-	s.Ctx, s.cancel = context.WithDeadline(context.Background(), time.Now().Add(time.Duration((until-now)*1e6)))
 	t.subs = append(t.subs, s)
 	t.out++
 	p.counts.Out++
@@ -340,7 +412,7 @@
 		go s.End(policy.Moot, nil, -1, -1)
 		return
 	}
-	t.post(Action{Do: Submit, Sub: s, Appliance: appliance})
+	t.post(Action{Do: Submit, Sub: s})
 }
 
 func (p *port) Decline(id string, wait float64) {
@@ -357,7 +429,8 @@
 
 func (p *port) Revoke(id string, submission int) {
 	if t := p.held(id); t != nil && submission >= 0 && submission < len(t.subs) {
-		t.subs[submission].cancel()
+		t.subs[submission].called = true
+		t.subs[submission].stop()
 	}
 }
 
@@ -374,8 +447,8 @@
 
 func (p *port) Timer(after float64, token uint64) {
 	now := (*Core)(p).Now()
-	heap.Push(&p.timers, timer{now + after, token})
-	if p.timers[0].token == token {
+	heap.Push(&p.timers, timer{at: now + after, token: token})
+	if p.timers[0].module() && p.timers[0].token == token {
 		(*Core)(p).rewind(now)
 	}
 }
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -29,6 +29,9 @@
 	headMost = 16 << 10
 	headWait = 5 * time.Second
 	idMost   = 256
+	// What fits into a socket's buffer is written at once.
+	writeFree = 4 << 10
+	writeMost = 10 * time.Second
 	// New connections come for up to 0.4 s after the signal; the kill no sooner than the longest time of a txn and
 	// 0.7 s after it.
 	leaveOpen = 700 * time.Millisecond
@@ -42,6 +45,7 @@
 	sockets  *Sockets
 	products map[string]int
 	effects  []policy.Effect
+	revokes  bool  // a submission may be called off
 	open     int   // txns at once; 0: no limit
 	room     int64 // bytes of bodies at once
 	bodies   atomic.Int64
@@ -53,9 +57,10 @@
 }
 
 // NewFront makes one for the products by name; bodies held at once may add up to room bytes.
-func NewFront(c *core.Core, up *Upstream, sockets *Sockets, names []string, products []policy.Product, open int,
-	room int64) *Front {
-	f := &Front{core: c, up: up, sockets: sockets, products: map[string]int{}, open: open, room: room}
+func NewFront(c *core.Core, up *Upstream, sockets *Sockets, names []string, products []policy.Product, revokes bool,
+	open int, room int64) *Front {
+	f := &Front{core: c, up: up, sockets: sockets, products: map[string]int{}, revokes: revokes, open: open,
+		room: room}
 	for i, name := range names {
 		f.products[name] = i
 		f.effects = append(f.effects, products[i].Effect)
@@ -139,18 +144,21 @@
 	}
 
 	// The body is read whole before anything is decided; the client's time runs meanwhile.
-	limits := http.NewResponseController(w)
-	limits.SetReadDeadline(time.Now().Add(time.Duration(left * 1e6)))
-	limits.SetWriteDeadline(time.Now().Add(time.Duration(left*1e6) + time.Second))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
-	limits.SetReadDeadline(time.Time{})
-	if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
-		f.refuse(w, http.StatusRequestEntityTooLarge, "body too long")
-		return
-	} else if err != nil { // it never came whole, so nothing was taken
-		w.Header().Set("Connection", "close")
-		f.refuse(w, http.StatusBadRequest, "body cut off")
-		return
+	var body []byte
+	if r.ContentLength != 0 {
+		limits := http.NewResponseController(w)
+		limits.SetReadDeadline(time.Now().Add(time.Duration(left * 1e6)))
+		var err error
+		body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
+		limits.SetReadDeadline(time.Time{})
+		if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
+			f.refuse(w, http.StatusRequestEntityTooLarge, "body too long")
+			return
+		} else if err != nil { // it never came whole, so nothing was taken
+			w.Header().Set("Connection", "close")
+			f.refuse(w, http.StatusBadRequest, "body cut off")
+			return
+		}
 	}
 	defer f.bodies.Add(-int64(len(body)))
 	if f.bodies.Add(int64(len(body))) > f.room || f.open > 0 && f.active.Load() > int64(f.open) {
@@ -159,7 +167,9 @@
 		return
 	}
 
-	t := f.core.Take(came, id, key, product, r.Header.Get("Req-Retry") == "1", left)
+	first := head(r, len(body))
+	submit := func(s *core.Submission) { f.up.Submit(s, first, body) }
+	t := f.core.Take(came, id, key, product, r.Header.Get("Req-Retry") == "1", left, submit)
 	if t == nil {
 		f.refuse(w, http.StatusBadRequest, "this id is held already")
 		return
@@ -174,27 +184,29 @@
 		}
 		t.Close()
 	}()
-	first := head(r, len(body))
-	for !answered {
-		select {
-		case <-t.Bell():
-		case <-r.Context().Done(): // the client has gone
-			return
-		}
-		for _, a := range t.Mail() {
-			switch a.Do {
-			case core.Submit:
-				go f.up.Submit(a.Sub, a.Appliance, first, body)
-			case core.Settle:
-				answered = true
-				settle(w, a.Answer.(answer))
-			case core.Decline:
-				answered = true
-				decline(w, a.Wait)
-			case core.Void:
-				answered = true
-				void(w)
+	defer context.AfterFunc(r.Context(), t.Hangup)() // the client has gone
+	for {
+		switch a := t.Next(); a.Do {
+		case core.Submit:
+			if f.revokes {
+				submit(a.Sub) // here: what the module wants meanwhile interrupts it
+			} else {
+				go submit(a.Sub)
 			}
+		case core.Settle:
+			answered = true
+			settle(w, a.Answer.(answer))
+			return
+		case core.Decline:
+			answered = true
+			decline(w, a.Wait)
+			return
+		case core.Void:
+			answered = true
+			void(w)
+			return
+		case core.Leave:
+			return
 		}
 	}
 }
@@ -203,6 +215,9 @@
 	if a.kind == "" {
 		a.kind = "application/octet-stream"
 	}
+	if len(a.body) > writeFree { // a client that stops reading must not keep the handler for ever
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMost))
+	}
 	w.Header().Set("Content-Type", a.kind)
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.Write(a.body)
--- a/internal/httpwire/platform.go
+++ b/internal/httpwire/platform.go
@@ -207,10 +207,10 @@
 	c := p.conn
 	form := fmt.Sprintf("Action=CastVote&release=%d&tranche=%d&ruling=%s", b.build, b.stage, rulings[b.verdict])
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	resp, body, err := c.exchange([]byte("POST / HTTP/1.1\r\nHost: " + p.address +
+	answer, err := c.exchange([]byte("POST / HTTP/1.1\r\nHost: " + p.address +
 		"\r\nContent-Type: application/x-www-form-urlencoded\r\nContent-Length: " + strconv.Itoa(len(form)) +
 		"\r\n\r\n" + form))
-	if !stop() || err != nil || resp.Close || c.in.Buffered() > 0 { // a late answer must not pass for the next vote's
+	if !stop() || err != nil || answer.closes || c.in.Buffered() > 0 { // a late answer must not pass for the next vote's
 		c.Close()
 		p.conn = nil
 	} else {
@@ -222,18 +222,18 @@
 	if err != nil {
 		return policy.Silent, nil, err
 	}
-	leaf, err := leaves(body)
+	leaf, err := leaves(answer.body)
 	switch {
 	case err != nil:
 		return policy.Silent, nil, err
-	case resp.StatusCode == http.StatusOK:
+	case answer.status == http.StatusOK:
 		return policy.Counted, leaf, nil
 	case leaf("Code") == "STALE":
 		return policy.Idle, nil, errors.New("stale")
 	case leaf("Code") == "BUSY", leaf("Code") == "FAILED", leaf("Code") == "SYNTAX":
 		return policy.Refused, nil, errors.New(leaf("Code"))
 	}
-	return policy.Silent, nil, fmt.Errorf("status %d, code %q", resp.StatusCode, leaf("Code"))
+	return policy.Silent, nil, fmt.Errorf("status %d, code %q", answer.status, leaf("Code"))
 }
 
 // leaves reads the texts of a document by the name of their element.
--- a/internal/httpwire/upstream.go
+++ b/internal/httpwire/upstream.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,7 +25,8 @@
 
 const (
 	bodyMost  = 64 << 10
-	wireMost  = 256 << 10 // one answer with its head and framing, however it comes
+	headLines = 64                   // in an answer's head, none longer than the reader's buffer
+	fresh     = 2 * time.Millisecond // a connection used since is taken without a look at whether it still stands
 	probeWait = 500 * time.Millisecond
 )
 
@@ -56,21 +58,25 @@
 	return u
 }
 
-// conn is one connection; its reader is bounded anew for each answer.
+// conn is one connection to an appliance or the platform.
 type conn struct {
 	net.Conn
-	bound *io.LimitedReader
 	in    *bufio.Reader
 	since time.Time
 }
 
-func newConn(c net.Conn) *conn {
-	bound := &io.LimitedReader{R: c, N: wireMost}
-	return &conn{Conn: c, bound: bound, in: bufio.NewReader(bound)}
-}
+func newConn(c net.Conn) *conn { return &conn{Conn: c, in: bufio.NewReader(c)} }
+
+// Halt interrupts the call under way.
+func (c *conn) Halt() { c.SetDeadline(time.Unix(1, 0)) }
+
+// dialling is a connection that is not up yet.
+type dialling context.CancelFunc
+
+func (d dialling) Halt() { d() }
 
 // get takes an idle connection that still stands, the last used first, or opens one.
-func (u *Upstream) get(ctx context.Context, address string) (*conn, error) {
+func (u *Upstream) get(s *core.Submission, address string) (*conn, error) {
 	for {
 		u.mu.Lock()
 		list := u.kept[address]
@@ -81,7 +87,7 @@
 		c := list[len(list)-1]
 		u.kept[address] = list[:len(list)-1]
 		u.mu.Unlock()
-		if time.Since(c.since) < u.idle && quiet(c.Conn) {
+		if rest := time.Since(c.since); rest < fresh || rest < u.idle && quiet(c.Conn) {
 			return c, nil
 		}
 		c.Close()
@@ -92,8 +98,13 @@
 		u.mu.Unlock()
 		return nil, errors.New("no socket left")
 	}
-	ctx, cancel := context.WithTimeout(ctx, u.up)
+	ctx, cancel := context.WithTimeout(context.Background(), u.up)
 	defer cancel()
+	if s != nil {
+		if called, late := s.Begin(dialling(cancel)); called || late {
+			return nil, context.Canceled
+		}
+	}
 	c, err := u.dial(ctx, address)
 	if err != nil {
 		return nil, err
@@ -183,41 +194,109 @@
 
 var errUnsent = errors.New("its last byte was never written")
 
+// reply is what an answer's head says that matters here, and its body.
+type reply struct {
+	status   int
+	load     string
+	declined bool
+	kind     string
+	body     []byte
+	closes   bool
+}
+
 // exchange writes one call and reads its answer whole. An error that is errUnsent proves that the call never ran.
-func (u *Upstream) exchange(ctx context.Context, address string, call func() []byte) (*http.Response, []byte, error) {
-	c, err := u.get(ctx, address)
-	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", errUnsent, err)
+func (c *conn) exchange(call []byte) (reply, error) {
+	if n, err := c.Write(call); n < len(call) {
+		return reply{}, fmt.Errorf("%w: %w", errUnsent, err)
 	}
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	resp, body, err := c.exchange(call())
-	if !stop() || err != nil || resp.Close || c.in.Buffered() > 0 {
-		c.Close()
-	} else {
-		u.put(address, c)
+	for {
+		r, err := c.read()
+		if err != nil || r.status >= 200 || r.status == http.StatusSwitchingProtocols {
+			return r, err
+		} // else an interim answer; the real one follows
 	}
-	return resp, body, err
 }
 
-func (c *conn) exchange(call []byte) (*http.Response, []byte, error) {
-	if n, err := c.Write(call); n < len(call) {
-		return nil, nil, fmt.Errorf("%w: %w", errUnsent, err)
+var errMalformed = errors.New("an answer that can't be read")
+
+// read takes an answer apart by hand: the library's reader, with its table of headers, took a tenth of a txn's cost.
+func (c *conn) read() (r reply, err error) {
+	line, err := c.line()
+	if err != nil {
+		return r, err
 	}
-	c.bound.N = wireMost
-	for {
-		resp, err := http.ReadResponse(c.in, nil)
-		if err != nil {
-			return nil, nil, err
+	if len(line) < 12 || string(line[:7]) != "HTTP/1." || line[8] != ' ' || len(line) > 12 && line[12] != ' ' {
+		return r, errMalformed
+	}
+	if r.status, err = strconv.Atoi(string(line[9:12])); err != nil || r.status < 100 {
+		return r, errMalformed
+	}
+	r.closes = line[7] == '0'
+	length, chunked := int64(-1), false
+	for n := 0; ; n++ {
+		if line, err = c.line(); err != nil {
+			return r, err
 		}
-		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue // an interim answer; the real one follows
+		if len(line) == 0 {
+			break
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost+1))
-		if err == nil && len(body) > bodyMost {
-			err = errors.New("an answer too long")
+		name, value, ok := bytes.Cut(line, []byte{':'})
+		if !ok || n >= headLines {
+			return r, errMalformed
 		}
-		return resp, body, err
+		value = bytes.TrimSpace(value)
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			l, err := strconv.ParseInt(string(value), 10, 64)
+			if err != nil || l < 0 || length >= 0 && l != length {
+				return r, errMalformed
+			}
+			length = l
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			if chunked = bytes.EqualFold(value, []byte("chunked")); !chunked {
+				return r, errMalformed
+			}
+		case bytes.EqualFold(name, []byte("Connection")):
+			r.closes = r.closes || bytes.EqualFold(value, []byte("close"))
+		case bytes.EqualFold(name, []byte("Content-Type")):
+			r.kind = string(value)
+		case bytes.EqualFold(name, []byte("Srv-Load")):
+			r.load = string(value)
+		case bytes.EqualFold(name, []byte("Srv-Declined")):
+			r.declined = string(value) == "1"
+		}
+	}
+	switch {
+	case r.status < 200 || r.status == http.StatusNoContent || r.status == http.StatusNotModified:
+	case chunked:
+		r.body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.in), bodyMost+1))
+		if err == nil && len(r.body) <= bodyMost {
+			line, err = c.line() // the end of the trailers, which are none here
+			r.closes = r.closes || len(line) > 0
+		}
+	case length > bodyMost:
+		return r, errTooLong
+	case length >= 0:
+		r.body = make([]byte, length)
+		_, err = io.ReadFull(c.in, r.body)
+	default:
+		r.closes = true
+		r.body, err = io.ReadAll(io.LimitReader(c.in, bodyMost+1))
 	}
+	if err == nil && len(r.body) > bodyMost {
+		err = errTooLong
+	}
+	return r, err
+}
+
+var errTooLong = errors.New("an answer too long")
+
+func (c *conn) line() ([]byte, error) {
+	line, err := c.in.ReadSlice('\n')
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(line, "\r\n"), nil
 }
 
 // answer is what goes back to the client.
@@ -227,73 +306,82 @@
 }
 
 // Submit carries out one submission of a txn and tells its end.
-func (u *Upstream) Submit(s *core.Submission, appliance string, head, body []byte) {
-	address := u.address(appliance)
-	if address == "" {
-		s.End(policy.Unconnected, nil, -1, -1)
-		return
-	}
-	resp, got, err := u.exchange(s.Ctx, address, func() []byte {
-		left := max(int64(s.Until-u.core.Now()), 1)
-		return slicesOf(head, "Req-Deadline: "+strconv.FormatInt(left, 10)+"m\r\n\r\n", body)
-	})
+func (u *Upstream) Submit(s *core.Submission, head, body []byte) {
+	result, r := u.submit(s, head, body)
 	waiting, busy := -1.0, -1.0
-	if resp != nil && u.onAnswers {
-		waiting, busy = load(resp.Header.Get("Srv-Load"))
+	if u.onAnswers && r.load != "" {
+		waiting, busy = load(r.load)
 	}
-	s.End(result(s.Ctx, resp, err), answer{contentType(resp), got}, waiting, busy)
-}
-
-func slicesOf(head []byte, line string, body []byte) []byte {
-	out := make([]byte, 0, len(head)+len(line)+len(body))
-	return append(append(append(out, head...), line...), body...)
+	s.End(result, answer{r.kind, r.body}, waiting, busy)
 }
 
-func contentType(resp *http.Response) string {
-	if resp == nil {
-		return ""
+// submit follows the protocol's table of outcomes.
+func (u *Upstream) submit(s *core.Submission, head, body []byte) (policy.Result, reply) {
+	address := u.address(s.Appliance)
+	if address == "" {
+		return policy.Unconnected, reply{}
+	}
+	c, err := u.get(s, address)
+	if err != nil {
+		if called, _ := s.Begin(nil); called {
+			return policy.Revoked, reply{}
+		}
+		return policy.Unconnected, reply{}
+	}
+	if called, late := s.Begin(c); called || late { // not written yet: it must not go out now
+		u.put(address, c)
+		if called {
+			return policy.Revoked, reply{}
+		}
+		return policy.Unconnected, reply{}
+	}
+	call := make([]byte, 0, len(head)+len(body)+40)
+	call = append(append(call, head...), "Req-Deadline: "...)
+	call = strconv.AppendInt(call, max(int64(s.Until-u.core.Now()), 1), 10)
+	r, err := c.exchange(append(append(call, "m\r\n\r\n"...), body...))
+	called, late := s.Begin(nil)
+	if called || late || err != nil || r.closes || c.in.Buffered() > 0 {
+		c.Close()
+	} else {
+		u.put(address, c)
 	}
-	return resp.Header.Get("Content-Type")
-}
-
-// result is the protocol's table of outcomes.
-func result(ctx context.Context, resp *http.Response, err error) policy.Result {
 	switch {
-	case errors.Is(err, errUnsent) && errors.Is(ctx.Err(), context.Canceled):
-		return policy.Revoked
+	case err != nil && called:
+		return policy.Revoked, r
 	case errors.Is(err, errUnsent):
-		return policy.Unconnected
-	case err != nil && errors.Is(ctx.Err(), context.Canceled):
-		return policy.Revoked
-	case err != nil && ctx.Err() != nil:
-		return policy.TimedOut
+		return policy.Unconnected, r
+	case err != nil && late:
+		return policy.TimedOut, r
 	case err != nil:
-		return policy.Broken
-	case resp.StatusCode == http.StatusOK:
-		return policy.Settled
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("Srv-Declined") == "1":
-		return policy.Rejected
+		return policy.Broken, r
+	case r.status == http.StatusOK:
+		return policy.Settled, r
+	case (r.status == http.StatusServiceUnavailable || r.status == http.StatusGatewayTimeout) && r.declined:
+		return policy.Rejected, r
 	}
-	return policy.Errored
+	return policy.Errored, r
 }
 
 // Probe asks an appliance how it is, on a connection like any other.
 func (u *Upstream) Probe(appliance string) {
-	from := u.core.Now()
-	path := "/alive"
+	from, path := u.core.Now(), "/alive"
 	if u.onProbes {
 		path = "/metrics/load"
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeWait)
-	defer cancel()
-	resp, body, err := u.exchange(ctx, u.address(appliance), func() []byte {
-		return []byte("GET " + path + " HTTP/1.1\r\nHost: " + appliance + "\r\n\r\n")
-	})
-	ok := err == nil && resp.StatusCode == http.StatusOK
+	address, ok := u.address(appliance), false
 	waiting, busy := -1.0, -1.0
-	if ok && u.onProbes {
-		waiting, busy = load(string(body))
+	if c, err := u.get(nil, address); err == nil {
+		c.SetDeadline(time.Now().Add(probeWait))
+		r, err := c.exchange([]byte("GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n"))
+		if err != nil || r.closes || c.in.Buffered() > 0 {
+			c.Close()
+		} else {
+			c.SetDeadline(time.Time{})
+			u.put(address, c)
+		}
+		if ok = err == nil && r.status == http.StatusOK; ok && u.onProbes {
+			waiting, busy = load(string(r.body))
+		}
 	}
 	u.core.Probed(appliance, ok, u.core.Now()-from, waiting, busy)
 }
@@ -325,13 +413,21 @@
 
 // head is a call's first part as it came, less what each submission tells anew and what belongs to a connection.
 func head(r *http.Request, length int) []byte {
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
+	b := make([]byte, 0, 512)
+	b = append(append(append(append(b, r.Method...), ' '), r.RequestURI...), " HTTP/1.1\r\nHost: "...)
+	b = append(append(b, r.Host...), "\r\n"...)
 	if length > 0 || r.Method != http.MethodGet {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", length)
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), int64(length), 10), "\r\n"...)
+	}
+	for name, values := range r.Header {
+		if connectionOnly[name] {
+			continue
+		}
+		for _, v := range values {
+			b = append(append(append(append(b, name...), ": "...), v...), "\r\n"...)
+		}
 	}
-	r.Header.WriteSubset(&b, connectionOnly) // to memory: it cannot fail
-	return b.Bytes()
+	return b
 }
 
 var connectionOnly = map[string]bool{"Connection": true, "Content-Length": true, "Expect": true, "Keep-Alive": true,
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -89,6 +89,9 @@
 // Open is how many txns may be held at once; 0: nothing is said of it.
 func Open(s gjson.Result) int { return int(s.Get("limits.max-open").Int()) }
 
+// Revokes tells that a submission may be called off.
+func Revokes(s gjson.Result) bool { return s.Get("limits.cancel").Bool() }
+
 // Limits are the socket and memory limits; 0: none.
 func Limits(config gjson.Result) (sockets, memoryMB int) {
 	return int(config.Get("limits.sockets").Int()), int(config.Get("limits.memory_mb").Int())
