--- a/policy/policy.go
+++ b/policy/policy.go
@@ -342,19 +342,18 @@
 	a.recallAt = math.Inf(1)
 	held, misses := a.held, 0
 	a.held = nil
-	for _, t := range held {
-		switch {
-		case t.ended || !t.held:
-		case misses >= recallTries:
-			a.held = append(a.held, t)
-		default:
-			t.held = false
-			a.todo = append([]*txn{t}, a.todo...)
-			if a.route(); t.held {
-				misses++
-			}
+	for len(held) > 0 && misses < recallTries {
+		t := held[0]
+		if held = held[1:]; t.ended || !t.held {
+			continue
+		}
+		t.held = false
+		a.todo = append([]*txn{t}, a.todo...)
+		if a.route(); t.held {
+			misses++
 		}
 	}
+	a.held = slices.Insert(held, 0, a.held...)
 	if len(a.held) > 0 {
 		a.recallAt = a.now + retryPause
 		a.look(a.recallAt, nil)
