--- a/cmd/onyxgate/main.go
+++ b/cmd/onyxgate/main.go
@@ -157,7 +157,7 @@
 	logrus.WithFields(logrus.Fields{"version": version, "name": or(s.Name, "name"), "listen": listener.Addr().String(),
 		"cpus": runtime.NumCPU(), "cores": runtime.GOMAXPROCS(0), "sockets": sockets, "memory_mb": memoryMB, "agents": settings.Get("balancers").Int(), "products": len(names),
 		"appliances": len(config.Get("known.servers").Array())}).Info("start")
-	c.Start(func(p policy.Port) *policy.Agent { return setup.Module(p, seed, settings) })
+	c.Start(func(p policy.Port) *policy.Agent { return setup.Module(p, seed, settings, budget.Clients()) })
 	if err := parts.Discovery.Take([]byte(config.Get("known").Raw), true); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -56,6 +56,9 @@
 	return s.used, s.clients, s.idle.Len()
 }
 
+// Clients is how many of them there can be.
+func (s *Sockets) Clients() int { return int(clientPart * float64(s.limit)) }
+
 // Full tells that nothing is left, so that a client's connection had better end with its txn.
 func (s *Sockets) Full() bool {
 	s.mu.Lock()
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -22,12 +22,18 @@
 		"clocked": policy.Clocked}
 )
 
-// Module hands each part of a new module its own settings.
-func Module(port policy.Port, seed uint64, s gjson.Result) *policy.Agent {
+// Module hands each part of a new module its own settings; the agent can bear so many txns at once, 0: any number.
+func Module(port policy.Port, seed uint64, s gjson.Result, most int) *policy.Agent {
 	rules, fam, lim := s.Get("contract"), s.Get("family-info"), s.Get("limits")
 	a := policy.New(port, seed, int(s.Get("me").Int()), int(s.Get("balancers").Int()))
 	_, products := Products(s)
 	a.Serve(products, int(lim.Get("max-attempts").Int()), lim.Get("parallel-tries").Bool(), lim.Get("cancel").Bool())
+	if open := Open(s); open > 0 && (most <= 0 || open < most) {
+		most = open
+	}
+	if most > 0 {
+		a.Hold(float64(most))
+	}
 	a.Share(lim.Get("peers").Bool())
 	a.Probing(lim.Get("probes").Bool())
 	wait := 0.0
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -136,7 +136,7 @@
 	case "pool":
 		return h.pool(f)
 	case "init":
-		in.agent = setup.Module(in, f.Get("prng").Uint(), f.Get("profile-data"))
+		in.agent = setup.Module(in, f.Get("prng").Uint(), f.Get("profile-data"), 0)
 		return nil
 	}
 	a := in.agent
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,9 @@
 package policy
 
-// How to call: New, then each part's own call with its settings (Serve, Share, Probing, Advise, Zone, Watch,
-// Warm, Expose, Judge, Tenants), then one call for each event with its time. Every call ends by going through
-// the ordered rules below until none fires; they act through Port (port.go). Time and seed come only from
-// outside.
+// How to call: New, then each part's own call with its settings (Serve, Hold, Share, Probing, Advise, Zone,
+// Watch, Warm, Expose, Judge, Tenants), then one call for each event with its time. Every call ends by going
+// through the ordered rules below until none fires; they act through Port (port.go). Time and seed come only
+// from outside.
 
 import (
 	"cmp"
@@ -48,6 +48,7 @@
 	paceTime     = 4000 // over which the load that warm appliances bear is averaged
 	doubtTime    = 5000 // over which an appliance's record fades
 	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
+	holdPart     = 0.6  // of the txns that an agent can bear: beyond it one that finds no place is declined
 	blameFrom    = 0.25 // of the SLA time: an answer within it is no fault of the appliance
 	limitBinds   = 0.6  // part of the limit from which it is taken to bind
 	limitFirst   = 4
@@ -302,9 +303,9 @@
 	}
 	if i := a.pick(t); i >= 0 {
 		a.place(t, i)
-		return
-	}
-	if !t.held {
+	} else if a.now <= t.came && float64(len(a.txns)) > holdPart*a.most {
+		a.end(t) // more would take the agent's last connections, and then nobody is even declined
+	} else if !t.held {
 		t.held = true
 		a.held = append(a.held, t)
 		a.look(max(t.sla-a.least(t), a.now+retryPause), t)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 )
@@ -596,6 +597,28 @@
 	}
 }
 
+// An agent that can bear few txns declines the next that finds no place, at once, and keeps those that wait.
+func TestHold(t *testing.T) {
+	for _, c := range []struct {
+		most    float64
+		taken   int
+		decline int
+	}{{math.Inf(1), 30, 0}, {20, 12, 0}, {20, 30, 18}} {
+		a, r := tier(Product{}, 1)
+		a.Hold(c.most)
+		declined := 0
+		for k := range c.taken {
+			a.Txn(2+float64(k)/1000, fmt.Sprint(k), "", 0, 0, false, 4000, 0)
+			for _, did := range r.take() {
+				if did == fmt.Sprintf("decline %d", k) {
+					declined++
+				}
+			}
+		}
+		expect(t, fmt.Sprintf("%.0f, %d taken", c.most, c.taken), declined, c.decline)
+	}
+}
+
 // An appliance answers for its own time, not for what a txn waited here before it was placed.
 func TestBlame(t *testing.T) {
 	for _, c := range []struct {
--- a/policy/state.go
+++ b/policy/state.go
@@ -117,6 +117,7 @@
 	notedTimes     []float64
 	tellAt         float64
 	products       []Product
+	most           float64 // txns that the agent can bear at once
 	maxSubs        int
 	copies, revoke bool
 	maxWait        float64
@@ -168,7 +169,7 @@
 // New makes an agent; seed starts its generator.
 func New(port Port, seed uint64, me, agents int) *Agent {
 	a := &Agent{port: port, rnd: Chance(seed), agents: max(agents, 1), txns: map[string]*txn{}}
-	a.armed, a.recallAt, a.flow = math.Inf(1), math.Inf(1), [2]float64{1, 1}
+	a.most, a.armed, a.recallAt, a.flow = math.Inf(1), math.Inf(1), math.Inf(1), [2]float64{1, 1}
 	a.salt = a.rnd.Uint64()
 	a.allow, a.ties, a.sightings = map[int][]float64{}, map[string]int{}, map[string]float64{}
 	a.index, a.hashes, a.me = map[string]int{}, map[uint32]int{}, me
@@ -186,6 +187,9 @@
 	}
 }
 
+// Hold: so many txns can be open at once, by the agent's connections or its memory.
+func (a *Agent) Hold(most float64) { a.most = most }
+
 // Share: agents may send each other messages.
 func (a *Agent) Share(allowed bool) { a.peers = allowed }
 
