--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -76,7 +76,7 @@
 	quietLog := logrus.StandardLogger().WriterLevel(logrus.DebugLevel)
 	return &http.Server{Handler: f, ReadHeaderTimeout: headWait, MaxHeaderBytes: headMost,
 		ErrorLog: log.New(quietLog, "", 0), ConnState: func(c net.Conn, state http.ConnState) {
-			if state == http.StateIdle || state == http.StateNew {
+			if state == http.StateIdle { // a new one is about to be used
 				f.sockets.Idle(c)
 			} else {
 				f.sockets.Busy(c)
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -36,9 +36,9 @@
 const (
 	clientPart = 0.75
 	acceptMost = 50 * time.Millisecond // that one more connection waits for another to go: it may hold a txn
-	// A connection used or opened less than this ago is about to be used: closing it loses a txn on its way, and the
-	// client's next connection costs more than it frees.
-	restMost = 250 * time.Millisecond
+	// A connection used less than this ago may be about to be used again. No longer: clients use theirs in turn, and
+	// with hundreds idle none of them would ever be old.
+	restMost = 20 * time.Millisecond
 )
 
 // NewSockets makes a budget; 0 means no limit.
--- a/internal/httpwire/upstream.go
+++ b/internal/httpwire/upstream.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"onyxgate/internal/core"
@@ -96,7 +97,7 @@
 		u.mu.Lock()
 		u.Unsent++
 		u.mu.Unlock()
-		return nil, errors.New("no socket left")
+		return nil, errNoSocket
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), u.up)
 	defer cancel()
@@ -106,6 +107,9 @@
 		}
 	}
 	c, err := u.dial(ctx, address)
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		err = errNoSocket
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -192,6 +196,8 @@
 	return u.dialled, idle, u.Unsent
 }
 
+var errNoSocket = errors.New("no socket left")
+
 var errUnsent = errors.New("its last byte was never written")
 
 // reply is what an answer's head says that matters here, and its body.
@@ -323,8 +329,12 @@
 	}
 	c, err := u.get(s, address)
 	if err != nil {
-		if called, _ := s.Begin(nil); called {
+		called, _ := s.Begin(nil)
+		switch {
+		case called:
 			return policy.Revoked, reply{}
+		case errors.Is(err, errNoSocket): // the agent's own want must not pass for the appliance's
+			return policy.Moot, reply{}
 		}
 		return policy.Unconnected, reply{}
 	}
