--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -29,13 +29,15 @@
 	used    int
 	clients int
 	idle    *list.List  // clients' connections that carry no txn, the longest so first
-	shed    func() bool // closes one idle connection to an appliance
+	shed    func() bool // closes the connection to an appliance that has been idle longest
+	// shedSince is since when that one has been idle.
+	shedSince func() time.Time
 	shortAt time.Time
 }
 
 const (
 	clientPart = 0.75
-	acceptMost = 50 * time.Millisecond // that one more connection waits for another to go: it may hold a txn
+	acceptMost = 20 * time.Millisecond // that one more connection waits for another to go: it may hold a txn
 	// A connection used less than this ago may be about to be used again. No longer: clients use theirs in turn, and
 	// with hundreds idle none of them would ever be old.
 	restMost = 20 * time.Millisecond
@@ -46,7 +48,8 @@
 	if limit <= 0 {
 		limit = 1 << 20
 	}
-	return &Sockets{limit: max(limit-reserve, 4), idle: list.New(), shed: func() bool { return false }}
+	return &Sockets{limit: max(limit-reserve, 4), idle: list.New(), shed: func() bool { return false },
+		shedSince: time.Now}
 }
 
 // Used counts what is open, clients' part of it, and those of them that carry no txn.
@@ -66,7 +69,18 @@
 	return s.used >= s.limit
 }
 
-// room makes room for one more: idle connections go first, clients' where these are many. It tells whether there is.
+// idleSince is since when a client's connection has been idle longest.
+func (s *Sockets) idleSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first := s.idle.Front(); first != nil {
+		return first.Value.(*counted).since
+	}
+	return time.Now()
+}
+
+// room makes room for one more: the connection idle longest goes, a client's where they have used up their part. It
+// tells whether there is.
 func (s *Sockets) room(client bool) bool {
 	for tries := 0; ; tries++ {
 		s.mu.Lock()
@@ -82,7 +96,11 @@
 		if !short || tries > 0 {
 			return !short
 		}
-		if !(crowded && s.shedClient()) && full && !s.shed() {
+		if crowded || s.idleSince().Before(s.shedSince()) {
+			if !s.shedClient() && full {
+				s.shed()
+			}
+		} else if !s.shed() {
 			s.shedClient()
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,7 @@
 	paceTime     = 4000 // over which the load that warm appliances bear is averaged
 	doubtTime    = 5000 // over which an appliance's record fades
 	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
-	holdPart     = 0.6  // of the txns that an agent can bear: beyond it one that finds no place is declined
+	holdPart     = 0.4  // of the txns that an agent can bear: beyond it one that finds no place is declined
 	blameFrom    = 0.25 // of the SLA time: an answer within it is no fault of the appliance
 	limitBinds   = 0.6  // part of the limit from which it is taken to bind
 	limitFirst   = 4
