--- a/cmd/onyxgate/main.go
+++ b/cmd/onyxgate/main.go
@@ -28,7 +28,7 @@
 const version = "0.9"
 
 type serve struct {
-	Configuration string        `env:"NODE_CONFIG" type:"path" required:"" help:"The agent's configuration, JSON."`
+	Configuration string        `name:"config" env:"NODE_CONFIG" type:"path" required:"" help:"The agent's configuration, JSON."`
 	Name          string        `env:"NODE_NAME" help:"The agent's name, in place of the configuration's."`
 	Listen        string        `env:"NODE_LISTEN" help:"Where clients connect, in place of the configuration's."`
 	Discovery     string        `env:"NODE_DISCOVERY" help:"Discovery's address, in place of the configuration's."`
@@ -37,7 +37,7 @@
 }
 
 type check struct {
-	Configuration string `env:"NODE_CONFIG" type:"path" required:"" help:"The configuration to read."`
+	Configuration string `name:"config" env:"NODE_CONFIG" type:"path" required:"" help:"The configuration to read."`
 }
 
 type showVersion struct{}
