Bad input ends its connection; no coding is taken; silent connections go first

Now a coding is 411, HTTP/1.0 505, and every bad input closes with nothing read behind it. Accepting no longer waits 50 ms for each connection while clients are crowded: what never said anything goes first, after 20 ms.

--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -8,10 +8,8 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,7 +25,12 @@
 
 const (
 	headMost = 16 << 10
-	headWait = 5 * time.Second
+	// A head, and then a body, must come within this: what a bad client sends is owed an error or a close 3 s after it
+	// connected, and the rest of that may have been spent in the backlog.
+	headWait = 1500 * time.Millisecond
+	bodyWait = time.Second
+	// A connection without a txn may be closed after 2 s; each that says nothing for good would hold a descriptor.
+	idleWait = 2500 * time.Millisecond
 	idMost   = 256
 	// What fits into a socket's buffer is written at once.
 	writeFree = 4 << 10
@@ -73,11 +76,13 @@
 
 // Server is the net/http server that drives the front.
 func (f *Front) Server() *http.Server {
-	return &http.Server{Handler: f, ReadHeaderTimeout: headWait, MaxHeaderBytes: headMost,
-		ErrorLog: log.New(complaints{}, "", 0), ConnState: func(c net.Conn, state http.ConnState) {
-			if state == http.StateIdle { // a new one is about to be used
-				f.sockets.Idle(c)
-			} else {
+	return &http.Server{Handler: f, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: headMost,
+		DisableGeneralOptionsHandler: true, // it would answer 200 to what no client of ours sends
+		ErrorLog:                     log.New(complaints{}, "", 0), ConnState: func(c net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew, http.StateIdle:
+				f.sockets.Idle(c, state == http.StateNew)
+			default:
 				f.sockets.Busy(c)
 			}
 		}}
@@ -115,16 +120,28 @@
 		f.active.Add(-1)
 	}()
 
-	// What does not have the form of a txn goes no further.
-	parts := strings.Split(strings.Trim(path, "/"), "/")
-	product, known := f.products[parts[0]]
-	left, timed := duration(r.Header.Get("Req-Deadline"))
-	id := r.Header.Get("Req-Id")
+	// What does not have the form of a txn goes no further, and nothing behind it is read.
+	parts := strings.Split(path, "/")
+	product, known := -1, false
+	if parts[0] == "" && len(parts) > 1 { // else it is no path
+		product, known = f.products[parts[1]]
+	}
+	id, whole := only(r.Header, "Req-Id")
+	wait, timed := only(r.Header, "Req-Deadline")
+	mark, marked := only(r.Header, "Idempotency-Key")
+	left, ok := duration(wait)
 	method := http.MethodPost
 	if known && f.effects[product] == policy.InquiryLike {
 		method = http.MethodGet
 	}
 	switch {
+	case len(r.TransferEncoding) > 0:
+		// Clients of ours state lengths. Beside a length a coding may hide another txn, and the server drops the length.
+		f.refuse(w, http.StatusLengthRequired, "no coding is taken")
+		return
+	case r.ProtoMajor != 1 || r.ProtoMinor != 1: // of HTTP/1.0 the server drops the coding unseen
+		f.refuse(w, http.StatusHTTPVersionNotSupported, "HTTP/1.1 only")
+		return
 	case !known:
 		f.refuse(w, http.StatusNotFound, "unknown product")
 		return
@@ -132,44 +149,40 @@
 		w.Header().Set("Allow", method)
 		f.refuse(w, http.StatusMethodNotAllowed, "wrong method")
 		return
-	case !word(id):
+	case !whole || !word(id):
 		f.refuse(w, http.StatusBadRequest, "no id, or a malformed one")
 		return
-	case !timed:
+	case !timed || !ok:
 		f.refuse(w, http.StatusBadRequest, "no deadline, or a malformed one")
 		return
-	case f.effects[product] == policy.Referenced && !word(r.Header.Get("Idempotency-Key")):
+	case f.effects[product] == policy.Referenced && !(marked && word(mark)):
 		f.refuse(w, http.StatusBadRequest, "no mark against repeats")
 		return
+	case method == http.MethodGet && r.ContentLength != 0:
+		f.refuse(w, http.StatusBadRequest, "a body where none belongs")
+		return
+	case method == http.MethodPost && r.Header.Get("Content-Length") == "":
+		f.refuse(w, http.StatusLengthRequired, "no length")
+		return
 	case r.ContentLength > bodyMost:
-		f.unread(w, time.Now().Add(headWait))
 		f.refuse(w, http.StatusRequestEntityTooLarge, "body too long")
 		return
 	}
 	key := ""
-	if len(parts) > 1 {
+	if len(parts) > 2 {
 		key = parts[len(parts)-1]
 	}
 
 	// The body is read whole before anything is decided; the client's time runs meanwhile.
-	var body []byte
-	if r.ContentLength != 0 {
+	body := make([]byte, r.ContentLength)
+	if len(body) > 0 {
 		limits := http.NewResponseController(w)
-		until := time.Now().Add(time.Duration(left * 1e6))
-		limits.SetReadDeadline(until)
-		var err error
-		if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost)); err == nil {
-			limits.SetReadDeadline(time.Time{})
-		} else {
-			f.unread(w, until)
-		}
-		if tooLong := new(http.MaxBytesError); errors.As(err, &tooLong) {
-			f.refuse(w, http.StatusRequestEntityTooLarge, "body too long")
-			return
-		} else if err != nil { // it never came whole, so nothing was taken
+		limits.SetReadDeadline(time.Now().Add(min(time.Duration(left*1e6), bodyWait)))
+		if _, err := io.ReadFull(r.Body, body); err != nil { // it never came whole, so nothing was taken
 			f.refuse(w, http.StatusBadRequest, "body cut off")
 			return
 		}
+		limits.SetReadDeadline(time.Time{})
 	}
 	defer f.bodies.Add(-int64(len(body)))
 	if f.bodies.Add(int64(len(body))) > f.room || f.open > 0 && f.active.Load() > int64(f.open) {
@@ -248,36 +261,42 @@
 
 func void(w http.ResponseWriter) { http.Error(w, "voided", http.StatusBadGateway) }
 
-// unread ends a connection on which a body is still to come: the server would else wait for it without end.
-func (f *Front) unread(w http.ResponseWriter, until time.Time) {
-	w.Header().Set("Connection", "close")
-	http.NewResponseController(w).SetReadDeadline(until)
-}
-
+// refuse ends a connection with an error: nothing more is read on it, neither a body that may never come nor what
+// stands behind it.
 func (f *Front) refuse(w http.ResponseWriter, status int, why string) {
 	f.Refused.Add(1)
+	w.Header().Set("Connection", "close")
+	http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 	http.Error(w, why, status)
 }
 
+// only is a header's value where it stands just once: of two, an appliance might read the other.
+func only(h http.Header, name string) (string, bool) {
+	values := h[name]
+	if len(values) != 1 {
+		return "", false
+	}
+	return values[0], true
+}
+
 // word tells that a header's value is one word of sane length.
 func word(s string) bool {
 	return s != "" && len(s) <= idMost && !strings.ContainsFunc(s, func(c rune) bool { return c <= ' ' || c > '~' })
 }
 
-// duration reads a number with its unit, in milliseconds.
+// duration reads a number with its unit, in milliseconds: digits and at most one point, none of what else a float may be.
 func duration(s string) (float64, bool) {
-	if s == "" {
-		return 0, false
-	}
-	v, err := strconv.ParseFloat(s[:len(s)-1], 64)
-	switch s[len(s)-1] {
-	case 'm':
-	case 'u':
-		v /= 1000
+	number, unit := strings.TrimRight(s, "mu"), 1.0
+	switch strings.TrimPrefix(s, number) {
+	case "m":
+	case "u":
+		unit = 1000
 	default:
 		return 0, false
 	}
-	return v, err == nil && v > 0 && !math.IsInf(v, 1) && v <= 24*3600*1000
+	v, err := strconv.ParseFloat(number, 64)
+	odd := strings.ContainsFunc(number, func(c rune) bool { return c != '.' && (c < '0' || c > '9') })
+	return v / unit, err == nil && !odd && v > 0 && v/unit <= 24*3600*1000
 }
 
 // Leave serves what is there and what still comes, and returns once nothing does: connections arrive for a while
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -203,19 +203,41 @@
 		{"deadline without unit", head("GET /look/x", id, "Req-Deadline: 500"), 400, 0},
 		{"deadline past", head("GET /look/x", id, "Req-Deadline: -1m"), 400, 0},
 		{"deadline not a number", head("GET /look/x", id, "Req-Deadline: NaNm"), 400, 0},
+		{"deadline of odd form", head("GET /look/x", id, "Req-Deadline: 0x9m"), 400, 0},
+		{"two deadlines", head("GET /look/x", id, left, "Req-Deadline: 9m"), 400, 0},
+		{"two units", head("GET /look/x", id, "Req-Deadline: 9mu"), 400, 0},
+		{"two ids", head("GET /look/x", id, "Req-Id: q", left), 400, 0},
+		{"two marks", head("POST /save/x", id, left, mark, "Idempotency-Key: n", "Content-Length: 0"), 400, 0},
+		{"a body where none belongs", head("GET /look/x", id, left, "Content-Length: 1") + "a", 400, 0},
+		{"no length", head("POST /save/x", id, left, mark), 411, 0},
+		{"no path", head("GET look", id, left), 400, 0},
+		{"all of the server", head("OPTIONS *", id, left), 404, 0},
+		{"a length and a coding", head("POST /save/x", id, left, mark, "Content-Length: 9", "Transfer-Encoding: chunked") +
+			"0\r\n\r\n" + head("GET /look/x", id, left), 411, 0},
+		{"the same of HTTP/1.0", strings.Replace(head("POST /save/x", id, left, mark, "Content-Length: 5",
+			"Transfer-Encoding: chunked"), "/1.1", "/1.0", 1) + "0\r\n\r\n" + head("GET /look/x", id, left), 505, 0},
+		{"negative length", head("POST /save/x", id, left, mark, "Content-Length: -1"), 400, 0},
+		{"huge length", head("POST /save/x", id, left, mark, "Content-Length: 99999999999999999999"), 400, 0},
 		{"body too long", head("POST /save/x", id, left, mark, "Content-Length: 70000"), 413, 0},
-		{"body too long in chunks", head("POST /save/x", id, left, mark, "Transfer-Encoding: chunked") + "11170\r\n" +
-			strings.Repeat("a", 70000), 413, 0},
+		{"body in chunks", head("POST /save/x", id, left, mark, "Transfer-Encoding: chunked") + "11170\r\n" +
+			strings.Repeat("a", 70000), 411, 0},
 		{"body that does not come", head("POST /save/x", id, left, mark, "Content-Length: 9") + "ab", 400, 0},
+		{"body that never ends", head("POST /save/x", id, "Req-Deadline: 9000000m", mark, "Content-Length: 9") + "ab", 400, 0},
+		{"head without end", "GET /look/x HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 9000), 431, 0},
+		{"noise", "\x00\x01 hello\r\n\r\n", 400, 0},
 		{"not ready", head("GET /up"), 503, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				a := newAgent(network{"app": once("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}, NewSockets(0))
+				from := time.Now()
 				resp, _ := a.ask(t, c.text)
 				if n := a.core.Counts(); resp.StatusCode != c.status || n.Taken != c.taken || n.Open != 0 {
 					t.Errorf("got %d, %+v", resp.StatusCode, n)
 				}
+				if c.status != 200 && (!resp.Close && c.status != 503 || time.Since(from) > 2*time.Second) {
+					t.Errorf("close %v after %v", resp.Close, time.Since(from))
+				}
 				a.close()
 			})
 		})
@@ -309,7 +331,7 @@
 // Want of sockets: what has been idle longest goes, nothing new or in use does, and an appliance is not blamed.
 func TestSockets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := NewSockets(reserve + 8) // six for clients
+		s := NewSockets(reserve + 10) // eight for clients, from five on idle ones go
 		var clients []net.Conn
 		hold := func() net.Conn {
 			here, there := net.Pipe()
@@ -319,31 +341,33 @@
 			return clients[len(clients)-1]
 		}
 		used := func() int { _, n, _ := s.Used(); return n }
-		for range 6 {
+		gone := func(k int) bool { return clients[k].(*counted).closed }
+		for range 8 {
 			hold()
 		}
-		if s.room(true) || used() != 6 {
-			t.Error("a client's connection that is new or in use went")
+		if s.room(true) || used() != 8 || !s.room(false) {
+			t.Error("a client's connection in use went, or appliances' part with it")
 		}
-		s.Idle(clients[1])
+		s.Idle(clients[1], false)
 		if s.room(true) {
 			t.Error("one went that was used a moment ago")
 		}
 		time.Sleep(restMost)
-		s.Idle(clients[2])
-		if !s.room(true) || used() != 5 || !clients[1].(*counted).closed {
+		s.Idle(clients[2], false)
+		s.Idle(clients[3], true)
+		if !s.room(true) || used() != 7 || !gone(1) {
 			t.Error("the one idle longest should have gone")
 		}
 		time.Sleep(restMost)
+		if !s.room(true) || used() != 6 || !gone(3) {
+			t.Error("the one that never said anything should have gone first")
+		}
 		s.Busy(clients[2])
-		hold()
-		if s.room(true) {
+		if s.room(true); gone(2) || used() != 6 {
 			t.Error("one in use went")
 		}
 		a := newAgent(network{"app": once("")}, NewSockets(reserve+4))
-		a.front.sockets.mu.Lock()
-		a.front.sockets.used = 4
-		a.front.sockets.mu.Unlock()
+		a.front.sockets.used = 3 // the client's is the last
 		a.ask(t, good)
 		if n := a.core.Counts(); n.Ends[policy.Moot] != 1 {
 			t.Errorf("%+v", n)
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -1,8 +1,8 @@
 package httpwire
 
 // This file owns the budget of sockets that clients and appliances share: who holds how many, and which idle
-// connections go first when it runs short. It must never close a connection that carries a txn, nor stop accepting
-// while a descriptor is left: what waits in the backlog may already be a txn taken.
+// connections go first when it runs short. It must never close a connection that carries a txn, nor let those that
+// say nothing keep others waiting: what waits in the backlog may already be a txn taken.
 
 import (
 	"container/list"
@@ -21,23 +21,24 @@
 // discovery, the platform.
 const reserve = 16
 
-// Sockets counts connections against the budget. Clients may fill clientPart of it and appliances the rest; each may
-// use what the other leaves.
+// Sockets counts connections against the budget. From clientPart on, clients' connections that carry nothing make room
+// for new ones; clientMost are the most, for without appliances' part no txn that is held would get on.
 type Sockets struct {
 	mu      sync.Mutex
 	limit   int
 	used    int
 	clients int
-	idle    *list.List  // clients' connections that carry no txn, the longest so first
+	silent  *list.List  // clients' connections on which no txn has ever come, the longest so first
+	idle    *list.List  // those between txns
 	shed    func() bool // closes one idle connection to an appliance
 	shortAt time.Time
 }
 
 const (
-	clientPart = 0.75
-	acceptMost = 50 * time.Millisecond // that one more connection waits for another to go: it may hold a txn
+	clientPart = 0.5 // the usual clients hold a third for their txns
+	clientMost = 0.8
 	// A connection used less than this ago may be about to be used again. No longer: clients use theirs in turn, and
-	// with hundreds idle none of them would ever be old.
+	// with hundreds idle none of them would ever be old. A client that connects sends its txn with it.
 	restMost = 20 * time.Millisecond
 )
 
@@ -46,18 +47,19 @@
 	if limit <= 0 {
 		limit = 1 << 20
 	}
-	return &Sockets{limit: max(limit-reserve, 4), idle: list.New(), shed: func() bool { return false }}
+	return &Sockets{limit: max(limit-reserve, 4), silent: list.New(), idle: list.New(),
+		shed: func() bool { return false }}
 }
 
 // Used counts what is open, clients' part of it, and those of them that carry no txn.
 func (s *Sockets) Used() (all, clients, idle int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.used, s.clients, s.idle.Len()
+	return s.used, s.clients, s.idle.Len() + s.silent.Len()
 }
 
 // Clients is how many of them there can be.
-func (s *Sockets) Clients() int { return int(clientPart * float64(s.limit)) }
+func (s *Sockets) Clients() int { return int(clientMost * float64(s.limit)) }
 
 // Full tells that nothing is left, so that a client's connection had better end with its txn.
 func (s *Sockets) Full() bool {
@@ -66,12 +68,13 @@
 	return s.used >= s.limit
 }
 
-// room makes room for one more: idle connections go first, clients' where these are many. It tells whether there is.
+// room makes room for one more and tells whether there is: what has said nothing goes first, then what is idle, first
+// on the side that has more than its part.
 func (s *Sockets) room(client bool) bool {
 	for tries := 0; ; tries++ {
 		s.mu.Lock()
 		crowded, full := float64(s.clients) >= clientPart*float64(s.limit), s.used >= s.limit
-		short := full || client && crowded
+		none := full || client && s.clients >= s.Clients()
 		warn := full && tries > 0 && time.Since(s.shortAt) > 5*time.Second
 		if warn {
 			s.shortAt = time.Now()
@@ -79,20 +82,23 @@
 				Warn("sockets run short, and none is idle")
 		}
 		s.mu.Unlock()
-		if !short || tries > 0 {
-			return !short
+		if !none && !(client && crowded) || tries > 0 {
+			return !none
 		}
-		if !(crowded && s.shedClient()) && full && !s.shed() {
-			s.shedClient()
+		if s.shedClient(s.silent) || crowded && s.shedClient(s.idle) || !full {
+			continue
+		}
+		if !s.shed() {
+			s.shedClient(s.idle)
 		}
 	}
 }
 
-// shedClient closes the client connection that has been idle longest, unless something has come on it unread.
-func (s *Sockets) shedClient() bool {
+// shedClient closes the connection longest in a list, unless something has come on it unread.
+func (s *Sockets) shedClient(from *list.List) bool {
 	for range 8 {
 		s.mu.Lock()
-		first := s.idle.Front()
+		first := from.Front()
 		if first == nil {
 			s.mu.Unlock()
 			return false
@@ -112,13 +118,16 @@
 	return false
 }
 
-// Idle and Busy follow a client connection between txns.
-func (s *Sockets) Idle(conn net.Conn) {
+// Idle and Busy follow a client connection between txns; silent: none has come on it yet.
+func (s *Sockets) Idle(conn net.Conn, silent bool) {
 	if c, ok := conn.(*counted); ok {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if c.place == nil && !c.closed {
-			c.place, c.since = s.idle.PushBack(c), time.Now()
+			if c.among = s.idle; silent {
+				c.among = s.silent
+			}
+			c.place, c.since = c.among.PushBack(c), time.Now()
 		}
 	}
 }
@@ -133,14 +142,14 @@
 
 func (s *Sockets) busy(c *counted) {
 	if c.place != nil {
-		s.idle.Remove(c.place)
+		c.among.Remove(c.place)
 		c.place = nil
 	}
 }
 
 // CloseIdle closes clients' connections that carry nothing.
 func (s *Sockets) CloseIdle() {
-	for s.shedClient() {
+	for s.shedClient(s.idle) || s.shedClient(s.silent) {
 	}
 }
 
@@ -160,7 +169,8 @@
 	sockets *Sockets
 	client  bool
 	closed  bool
-	place   *list.Element // among the idle
+	among   *list.List // silent or idle
+	place   *list.Element
 	since   time.Time
 }
 
@@ -204,16 +214,17 @@
 	return err == nil && still
 }
 
-// Listener accepts whatever comes, within the budget where idle connections can make room and beyond it where not.
+// Listener accepts whatever comes as long as there is room; what waits in the backlog meanwhile waits on others' silence
+// for restMost at the most.
 type Listener struct {
 	net.Listener
 	Sockets *Sockets
 }
 
 func (l Listener) Accept() (net.Conn, error) {
-	for from := time.Now(); ; time.Sleep(time.Millisecond) {
-		if !l.Sockets.room(true) && time.Since(from) < acceptMost {
-			continue // appliances' part is kept for them: without it no txn that is held would get on
+	for ; ; time.Sleep(time.Millisecond) {
+		if !l.Sockets.room(true) {
+			continue
 		}
 		c, err := l.Listener.Accept()
 		if err == nil {
