SIGHUP rereads the configuration; discovery and the platform move without a gap

Now the file is read anew; what can't be used changes nothing. follow (discovery.go) opens the new stream beside the old one, which is left once the new one tells something; votes go to the new address from the next one on. Lists, notices and votes' answers are taken whole or not at all; a word that is not on the page ends the connection (before: an unknown state passed for draining, a notice was passed over on a stream left open, a vote's connection was kept after noise). A whole list on a watch is taken whatever its count.

--- a/cmd/onyxgate/main.go
+++ b/cmd/onyxgate/main.go
@@ -102,6 +102,8 @@
 func (c *calls) FetchList()             { c.Discovery.Ask(true) }
 
 func (s serve) Run() error {
+	signals := make(chan os.Signal, 16) // first of all: SIGHUP would else end a program that is not listening yet
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
 	config, err := read(s.Configuration)
 	if err != nil {
 		return err
@@ -158,7 +160,7 @@
 		"cpus": runtime.NumCPU(), "cores": runtime.GOMAXPROCS(0), "sockets": sockets, "memory_mb": memoryMB, "agents": settings.Get("balancers").Int(), "products": len(names),
 		"appliances": len(config.Get("known.servers").Array())}).Info("start")
 	c.Start(func(p policy.Port) *policy.Agent { return setup.Module(p, seed, settings, budget.Clients()) })
-	if err := parts.Discovery.Take([]byte(config.Get("known").Raw), true); err != nil {
+	if err := parts.Discovery.Take([]byte(config.Get("known").Raw), httpwire.Known, func() {}); err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
 	news := config.Get("pipeline.news")
@@ -174,27 +176,61 @@
 	go parts.Upstream.Sweep(ctx)
 	go s.report(ctx, c, front, budget, parts)
 
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	server, failed := front.Server(), make(chan error, 1)
 	go func() { failed <- server.Serve(httpwire.Listener{Listener: listener, Sockets: budget}) }()
 	front.Ready()
 	logrus.Info("ready")
-	select {
-	case err := <-failed:
-		return err
-	case <-signals:
+	left := make(chan bool)
+	for ending := false; ; {
+		select {
+		case err := <-failed:
+			if !ending { // else the listener was closed in leaving
+				return err
+			}
+		case <-left:
+			s.line(c, front, budget, parts)
+			logrus.Info("left")
+			return nil
+		case sig := <-signals:
+			switch {
+			case sig == syscall.SIGHUP:
+				config = s.reload(config, map[string]mover{"discovery": parts.Discovery,
+					"pipeline.address": parts.Platform})
+			case ending:
+				return errors.New("told twice to end")
+			default:
+				logrus.Info("leaving")
+				ending = true
+				go func() {
+					front.Leave(ctx, server)
+					close(left)
+				}()
+			}
+		}
 	}
-	logrus.Info("leaving")
-	go func() {
-		<-signals
-		logrus.Warn("told twice to end")
-		os.Exit(1)
-	}()
-	front.Leave(ctx, server)
-	s.line(c, front, budget, parts)
-	logrus.Info("left")
-	return nil
+}
+
+// mover can be told another address.
+type mover interface{ Move(address string) }
+
+// reload reads the configuration anew. Only discovery's and the platform's addresses can change while it runs; what can't
+// be used changes nothing.
+func (s serve) reload(was gjson.Result, parts map[string]mover) gjson.Result {
+	now, err := read(s.Configuration)
+	if err != nil {
+		logrus.WithError(err).Error("configuration not taken, the running one stays")
+		return was
+	}
+	moves := logrus.Fields{}
+	for name, part := range parts {
+		// Against the file as it was: an address given in its place at the start holds until the file names another.
+		if address := now.Get(name).Str; address != was.Get(name).Str {
+			part.Move(address)
+			moves[name] = address
+		}
+	}
+	logrus.WithFields(moves).Info("configuration reread")
+	return now
 }
 
 // report logs the module's own lines and, every so often, a line of counts.
--- a/internal/httpwire/discovery.go
+++ b/internal/httpwire/discovery.go
@@ -10,13 +10,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/sirupsen/logrus"
 	"github.com/tidwall/gjson"
@@ -26,12 +26,12 @@
 )
 
 const (
-	controlUp   = time.Second     // for a connection to discovery or the platform to come up
+	controlUp   = time.Second     // for a connection to discovery or the platform to come up, and for an answer's head
 	watchSilent = 5 * time.Second // an empty line comes every 2 s
 	fetchWait   = 2 * time.Second // for a whole list
 	againFirst  = 100.0           // ms; the pause before a broken stream is opened again, doubled each time
-	againMost   = 2000.0
-	linesMost   = 8 << 20 // a list in one line
+	againMost   = 1000.0          // what discovery has to tell counts as told after 4 to 6 s
+	linesMost   = 8 << 20         // a list in one line
 )
 
 // Discovery follows the list.
@@ -44,6 +44,7 @@
 	forget       func(address string)
 	chance       *rand.Rand
 	asks         chan bool // true: whole list, false: the watch
+	moved        chan bool
 	mu           sync.RWMutex
 	version      int64
 	where        map[string]string
@@ -53,7 +54,7 @@
 // NewDiscovery makes one; where the list is only told to those who ask, the module opens the watch.
 func NewDiscovery(c *core.Core, dial Dial, address string, zones, kinds []string, asked bool, seed uint64) *Discovery {
 	return &Discovery{core: c, dial: dial, address: address, zones: zones, kinds: kinds, asked: asked,
-		forget: func(string) {}, chance: policy.Chance(seed), asks: make(chan bool, 16),
+		forget: func(string) {}, chance: policy.Chance(seed), asks: make(chan bool, 16), moved: make(chan bool, 1),
 		where: map[string]string{}, started: map[string]float64{}}
 }
 
@@ -82,16 +83,33 @@
 	}
 }
 
+// Move names another address; the watch there is opened at once.
+func (d *Discovery) Move(address string) {
+	d.mu.Lock()
+	d.address = address
+	d.mu.Unlock()
+	select {
+	case d.moved <- true:
+	default: // a move is under way, and takes the address when it gets to it
+	}
+}
+
+func (d *Discovery) at() string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.address
+}
+
 // Run follows discovery until ctx ends.
 func (d *Discovery) Run(ctx context.Context) {
-	watching := make(chan error, 1)
-	open := !d.asked
-	pause := againFirst
-	var again <-chan time.Time
+	ended := make(chan bool, 1)
 	start := func() {
-		again = nil
-		go func() { watching <- d.watch(ctx) }()
+		go func() {
+			follow(ctx, d.chance, d.moved, "watch", !d.asked, d.watch)
+			ended <- true
+		}()
 	}
+	open := !d.asked
 	if open {
 		start()
 	}
@@ -106,58 +124,113 @@
 				open = true
 				start()
 			}
-		case <-again:
+		case <-ended:
+			if ctx.Err() == nil { // the module says when to ask again
+				open = false
+				d.core.ListFailed()
+			}
+		}
+	}
+}
+
+// follow keeps one stream open until ctx ends. One that breaks is opened again after a pause, longer for each that
+// told nothing; where it is not to be, follow ends. After a move a new one is opened beside the old, which is left as
+// soon as the new one tells something: until then it may be the only one that does.
+func follow(ctx context.Context, chance *rand.Rand, moved <-chan bool, name string, again bool,
+	stream func(ctx context.Context, told func()) error) {
+	type end struct {
+		n   int
+		err error
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	ends, tells := make(chan end), make(chan int)
+	n, stands, pause := 0, false, againFirst
+	old, last := func() {}, func() {}
+	var wait <-chan time.Time
+	start := func() {
+		n++
+		k, told := n, false
+		one, leave := context.WithCancel(ctx)
+		last, stands, wait = leave, false, nil
+		go func() {
+			err := stream(one, func() {
+				if !told {
+					told = true
+					select {
+					case tells <- k:
+					case <-one.Done():
+					}
+				}
+			})
+			leave()
+			select {
+			case ends <- end{k, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	start()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-moved:
+			if stands {
+				old = last
+			} else {
+				last()
+			}
+			logrus.Info(name + " moves")
+			pause = againFirst
 			start()
-		case err := <-watching:
-			told := !errors.Is(err, errSaidNothing)
-			if told {
-				pause = againFirst
+		case k := <-tells:
+			if k == n {
+				old()
+				stands, pause = true, againFirst
 			}
-			if ctx.Err() != nil {
-				return
+		case e := <-ends:
+			if e.n != n || ctx.Err() != nil {
+				continue // left, or it ended beside the newer one
 			}
-			logrus.WithError(err).Warn("watch lost")
-			if d.asked { // the module says when to ask again
-				open = false
-				d.core.ListFailed()
-				continue
+			logrus.WithError(e.err).Warn(name + " lost")
+			if stands = false; !again {
+				return
 			}
-			again = time.After(time.Duration(pause * (0.5 + d.chance.Float64()) * 1e6))
+			wait = time.After(time.Duration(pause * (0.5 + chance.Float64()) * 1e6))
 			pause = min(2*pause, againMost)
+		case <-wait:
+			start()
 		}
 	}
 }
 
-var errSaidNothing = errors.New("nothing came")
-
-// watch reads one watch until it breaks or falls silent.
-func (d *Discovery) watch(ctx context.Context) error {
+// watch reads one watch until it breaks, falls silent or tells what can't be read.
+func (d *Discovery) watch(ctx context.Context, told func()) error {
 	version, _ := d.Version()
 	path := fmt.Sprintf("/discovery/hosts?watch=1&after=%d", version)
-	c, resp, err := open(ctx, d.dial, d.address, path, watchSilent)
+	c, resp, err := open(ctx, d.dial, d.at(), path, watchSilent)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errSaidNothing, err)
+		return err
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%w: status %d", errSaidNothing, resp.StatusCode)
+		return fmt.Errorf("status %d", resp.StatusCode)
 	}
 	logrus.WithField("after", version).Info("watch stands")
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, linesMost)
-	told := false
-	for err == nil && lines.Scan() {
+	for lines.Scan() {
 		c.SetReadDeadline(time.Now().Add(watchSilent))
 		if len(lines.Bytes()) > 0 {
-			err = d.Take(lines.Bytes(), false)
+			if err := d.Take(lines.Bytes(), Watched, told); err != nil {
+				return err
+			}
 		}
-		told = told || err == nil
-	}
-	if err = cmp.Or(err, lines.Err(), errors.New("it ended")); !told {
-		return fmt.Errorf("%w: %w", errSaidNothing, err)
+		told()
 	}
-	return err
+	return cmp.Or(lines.Err(), errors.New("it ended"))
 }
 
 // open connects, asks and reads the answer's head; the body is read from the answer, which silence ends.
@@ -168,22 +241,24 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c.SetDeadline(time.Now().Add(silent))
+	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
+	c.SetDeadline(time.Now().Add(controlUp)) // a part of a head may be all that ever comes
 	_, err = c.Write([]byte("GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n"))
 	var resp *http.Response
 	if err == nil {
 		resp, err = http.ReadResponse(bufio.NewReader(c), nil)
 	}
-	if err != nil {
+	if err != nil || ctx.Err() != nil {
 		c.Close()
-		return nil, nil, err
+		return nil, nil, cmp.Or(err, ctx.Err())
 	}
+	c.SetDeadline(time.Now().Add(silent))
 	return c, resp, nil
 }
 
 // fetch asks for the whole list once.
 func (d *Discovery) fetch(ctx context.Context) {
-	c, resp, err := open(ctx, d.dial, d.address, "/discovery/hosts", fetchWait)
+	c, resp, err := open(ctx, d.dial, d.at(), "/discovery/hosts", fetchWait)
 	if err == nil {
 		defer c.Close()
 		if resp.StatusCode != http.StatusOK {
@@ -194,7 +269,7 @@
 		lines := bufio.NewScanner(resp.Body)
 		lines.Buffer(nil, linesMost)
 		if lines.Scan() {
-			err = d.Take(lines.Bytes(), false)
+			err = d.Take(lines.Bytes(), Fetched, func() {})
 		} else {
 			err = errors.New("an empty answer")
 		}
@@ -205,23 +280,42 @@
 	}
 }
 
-// Take hands one list or change to the module; old says that it is what this agent held before it started.
-func (d *Discovery) Take(text []byte, old bool) error {
-	if !gjson.ValidBytes(text) {
+// Source is how a list came.
+type Source uint8
+
+const (
+	Known   Source = iota // what this agent held before it started
+	Fetched               // asked for by itself: it may have crossed with the watch
+	Watched
+)
+
+// Take hands one list or change to the module, whole or not at all; told is called once it is seen to be readable.
+func (d *Discovery) Take(text []byte, from Source, told func()) error {
+	if !gjson.ValidBytes(text) || !utf8.Valid(text) {
 		return errors.New("a list that can't be read")
 	}
 	list := gjson.ParseBytes(text)
 	version, whole := list.Get("version"), list.Get("full").Bool()
-	if version.Type != gjson.Number || !list.Get("servers").IsArray() {
-		return errors.New("a list without version or entries")
+	if version.Type != gjson.Number || !list.Get("full").IsBool() || !list.Get("servers").IsArray() {
+		return errors.New("a list without version, kind or entries")
 	}
+	var entries []policy.Listed
+	var addresses []string
+	for _, e := range list.Get("servers").Array() {
+		entry, address, err := d.entry(e)
+		if err != nil {
+			return err
+		}
+		entries, addresses = append(entries, entry), append(addresses, address)
+	}
+	told()
 	d.mu.Lock()
-	if version.Int() < d.version && !old {
+	// A watch tells in order, and a whole list on it starts anew: a discovery that lost its count begins with one.
+	if version.Int() < d.version && from != Known && !(whole && from == Watched) {
 		d.mu.Unlock()
-		return nil // a whole list and the watch have crossed
+		return nil
 	}
 	d.version = version.Int()
-	var entries []policy.Listed
 	left := map[string]bool{}
 	if whole {
 		for _, address := range d.where {
@@ -229,50 +323,52 @@
 		}
 		clear(d.where)
 	}
-	states := map[string]policy.State{"Ready": policy.Running, "Terminating": policy.Draining, "Gone": policy.Gone}
-	list.Get("servers").ForEach(func(_, e gjson.Result) bool {
-		id, state := e.Get("id").Str, policy.Draining // what a word that is not on the page means is not known:
-		if s, ok := states[e.Get("state").Str]; ok {  // nothing new goes there
-			state = s
-		}
-		weight, start := e.Get("weight"), e.Get("started_ms").Num
-		if id == "" || math.IsNaN(start) {
-			return true
+	for k, e := range entries {
+		address := addresses[k]
+		if was := d.where[e.ID]; was != "" && (was != address || d.started[e.ID] != e.Start || e.State == policy.Gone) {
+			left[was] = true
 		}
-		rating := 1.0
-		if weight.Type == gjson.Number {
-			rating = weight.Num
+		if e.State == policy.Gone {
+			delete(d.where, e.ID)
+			delete(d.started, e.ID)
+			continue
 		}
-		entries = append(entries, policy.Listed{ID: id, Build: int(e.Get("version_no").Int()), State: state,
-			Rating: rating, Start: start, Zone: max(slices.Index(d.zones, e.Get("zone").Str), 0),
-			Kind: max(slices.Index(d.kinds, e.Get("kind").Str), 0), Cell: int(e.Get("cell").Int())})
-		address := e.Get("addr").Str
-		if was := d.where[id]; was != "" && (was != address || d.started[id] != start) {
-			left[was] = true
+		if d.started[e.ID] == e.Start {
+			delete(left, address)
 		}
-		if state == policy.Gone {
-			left[address] = true
-			delete(d.where, id)
+		d.where[e.ID], d.started[e.ID] = address, e.Start
+	}
+	for id := range d.started {
+		if d.where[id] == "" {
 			delete(d.started, id)
-		} else {
-			if d.started[id] == start {
-				delete(left, address)
-			}
-			d.where[id], d.started[id] = address, start
-		}
-		return true
-	})
-	if whole {
-		for id := range d.started {
-			if d.where[id] == "" {
-				delete(d.started, id)
-			}
 		}
 	}
 	d.mu.Unlock()
 	for address := range left {
 		d.forget(address)
 	}
-	d.core.List(entries, whole, old)
+	d.core.List(entries, whole, from == Known)
 	return nil
 }
+
+var states = map[string]policy.State{"Ready": policy.Running, "Terminating": policy.Draining, "Gone": policy.Gone}
+
+// entry reads one entry. A word that is not on the page is noise, and the list with it.
+func (d *Discovery) entry(e gjson.Result) (policy.Listed, string, error) {
+	id, address, build, weight, start := e.Get("id"), e.Get("addr").Str, e.Get("version_no"), 1.0, e.Get("started_ms")
+	state, known := states[e.Get("state").Str]
+	_, _, err := net.SplitHostPort(address)
+	number := func(v gjson.Result) bool { return v.Type == gjson.Number && v.Num >= 0 && v.Num < 1e15 }
+	switch {
+	case id.Type != gjson.String || id.Str == "" || !known:
+		return policy.Listed{}, "", fmt.Errorf("an entry that can't be read: %.99q", e.Raw)
+	case state != policy.Gone && (err != nil || !number(build) || start.Exists() && !number(start)):
+		return policy.Listed{}, "", fmt.Errorf("an entry that can't be used: %.99q", e.Raw)
+	}
+	if w := e.Get("weight"); w.Type == gjson.Number {
+		weight = w.Num
+	}
+	return policy.Listed{ID: id.Str, Build: int(build.Int()), State: state, Rating: weight, Start: start.Num,
+		Zone: max(slices.Index(d.zones, e.Get("zone").Str), 0), Kind: max(slices.Index(d.kinds, e.Get("kind").Str), 0),
+		Cell: int(e.Get("cell").Int())}, address, nil
+}
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -66,7 +66,7 @@
 	a.up = NewUpstream(a.core, n.dial, a.disc.Address, sockets, 250, 30000, true, true)
 	a.disc.Forgetting(a.up.Forget)
 	a.front = NewFront(a.core, a.up, sockets, []string{"look", "save", "pay"}, products, true, 0, 1<<20)
-	a.disc.Take([]byte(told(1, true, `{"id":"s","addr":"app","state":"Ready","weight":1,"version_no":1}`)), true)
+	a.disc.Take([]byte(told(1, true, `{"id":"s","addr":"app:1","state":"Ready","weight":1,"version_no":1}`)), Known, func() {})
 	return a
 }
 
@@ -163,7 +163,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				a := newAgent(network{"app": c.peer}, NewSockets(0))
+				a := newAgent(network{"app:1": c.peer}, NewSockets(0))
 				from := time.Now()
 				resp, body := a.ask(t, good)
 				if resp.StatusCode != c.status || c.status == 200 && body != "body" {
@@ -229,7 +229,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				a := newAgent(network{"app": once("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}, NewSockets(0))
+				a := newAgent(network{"app:1": once("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}, NewSockets(0))
 				from := time.Now()
 				resp, _ := a.ask(t, c.text)
 				if n := a.core.Counts(); resp.StatusCode != c.status || n.Taken != c.taken || n.Open != 0 {
@@ -248,7 +248,7 @@
 func TestUnchanged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var got bytes.Buffer
-		a := newAgent(network{"app": func(c net.Conn) {
+		a := newAgent(network{"app:1": func(c net.Conn) {
 			r, err := http.ReadRequest(bufio.NewReader(io.TeeReader(c, &got)))
 			if err == nil {
 				io.Copy(io.Discard, r.Body)
@@ -301,7 +301,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				a := newAgent(network{"app": func(c2 net.Conn) {
+				a := newAgent(network{"app:1": func(c2 net.Conn) {
 					in := bufio.NewReader(c2)
 					for {
 						if _, err := http.ReadRequest(in); err != nil {
@@ -366,7 +366,7 @@
 		if s.room(true); gone(2) || used() != 6 {
 			t.Error("one in use went")
 		}
-		a := newAgent(network{"app": once("")}, NewSockets(reserve+4))
+		a := newAgent(network{"app:1": once("")}, NewSockets(reserve+4))
 		a.front.sockets.used = 3 // the client's is the last
 		a.ask(t, good)
 		if n := a.core.Counts(); n.Ends[policy.Moot] != 1 {
@@ -384,31 +384,38 @@
 
 // What discovery tells, entry by entry and list by list.
 func TestTake(t *testing.T) {
-	s, u := `{"id":"s","addr":"app","state":"Ready","version_no":1}`, `{"id":"u","addr":"b","state":"Ready","version_no":2}`
+	s, u := `{"id":"s","addr":"app:1","state":"Ready","version_no":1}`, `{"id":"u","addr":"b:1","state":"Ready","version_no":2}`
 	for _, c := range []struct {
 		name, text string
 		bad        bool
 		where      string // of s and u
 		forgotten  string
 	}{
-		{"another", told(2, false, u), false, "app b", "[]"},
-		{"a whole list", told(2, true, u), false, " b", "[app]"},
-		{"gone", told(2, false, `{"id":"s","addr":"app","state":"Gone"}`), false, " ", "[app]"},
-		{"draining", told(2, false, `{"id":"s","addr":"app","state":"Terminating","version_no":1}`), false, "app ", "[]"},
-		{"moved", told(2, false, `{"id":"s","addr":"c","state":"Ready","version_no":1}`), false, "c ", "[app]"},
-		{"started anew", told(2, false, `{"id":"s","addr":"app","state":"Ready","started_ms":5,"version_no":2}`), false, "app ", "[app]"},
-		{"older than what is held", told(0, true, u), false, "app ", "[]"},
-		{"the same again", told(1, true, s), false, "app ", "[]"},
-		{"no id", told(2, false, `{"addr":"b"},7`), false, "app ", "[]"},
-		{"cut off", `{"version":2,"full":tr`, true, "app ", "[]"},
-		{"no entries", `{"version":2}`, true, "app ", "[]"},
-		{"not a list", `[]`, true, "app ", "[]"},
+		{"another", told(2, false, u), false, "app:1 b:1", "[]"},
+		{"a whole list", told(2, true, u), false, " b:1", "[app:1]"},
+		{"gone", told(2, false, `{"id":"s","addr":"app:1","state":"Gone"}`), false, " ", "[app:1]"},
+		{"draining", told(2, false, `{"id":"s","addr":"app:1","state":"Terminating","version_no":1}`), false, "app:1 ", "[]"},
+		{"moved", told(2, false, `{"id":"s","addr":"c:1","state":"Ready","version_no":1}`), false, "c:1 ", "[app:1]"},
+		{"started anew", told(2, false, `{"id":"s","addr":"app:1","state":"Ready","started_ms":5,"version_no":2}`), false, "app:1 ", "[app:1]"},
+		{"change older than what is held", told(0, false, u), false, "app:1 ", "[]"},
+		{"a discovery that counts anew", told(0, true, u), false, " b:1", "[app:1]"},
+		{"the same again", told(1, true, s), false, "app:1 ", "[]"},
+		{"no id", told(2, false, u+`,{"addr":"b:1","state":"Ready","version_no":2}`), true, "app:1 ", "[]"},
+		{"not an entry", told(2, false, u+`,7`), true, "app:1 ", "[]"},
+		{"unknown state", told(2, true, strings.Replace(u, "Ready", "Rexdy", 1)), true, "app:1 ", "[]"},
+		{"no address", told(2, false, strings.Replace(u, "b:1", "b", 1)), true, "app:1 ", "[]"},
+		{"no build", told(2, false, strings.Replace(u, "2}", "null}", 1)), true, "app:1 ", "[]"},
+		{"odd bytes", told(2, false, strings.Replace(u, `"u"`, "\"\xff\"", 1)), true, "app:1 ", "[]"},
+		{"no kind of list", strings.Replace(told(2, true, u), `"full":true`, `"full":1`, 1), true, "app:1 ", "[]"},
+		{"cut off", `{"version":2,"full":tr`, true, "app:1 ", "[]"},
+		{"no entries", `{"version":2}`, true, "app:1 ", "[]"},
+		{"not a list", `[]`, true, "app:1 ", "[]"},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			a := newAgent(network{}, NewSockets(0))
 			forgotten := []string{}
 			a.disc.Forgetting(func(address string) { forgotten = append(forgotten, address) })
-			err := a.disc.Take([]byte(c.text), false)
+			err := a.disc.Take([]byte(c.text), Watched, func() {})
 			where := a.disc.Address("s") + " " + a.disc.Address("u")
 			if (err != nil) != c.bad || where != c.where || fmt.Sprint(forgotten) != c.forgotten {
 				t.Errorf("%s: %v, at %q, forgotten %v", c.name, err, where, forgotten)
@@ -434,7 +441,7 @@
 		n := network{"list": func(c net.Conn) {
 			switch len(asked) {
 			case 0: // tells, then is silent
-				stream(c, told(5, false, `{"id":"u","addr":"b","state":"Ready","version_no":1}`)+"\n")
+				stream(c, told(5, false, `{"id":"u","addr":"b:1","state":"Ready","version_no":1}`)+"\n")
 				io.Copy(io.Discard, c)
 			case 1: // lives on by empty lines, then breaks
 				stream(c, "\n")
@@ -453,7 +460,7 @@
 		time.Sleep(17 * time.Second)
 		cancel()
 		if len(asked) < 3 || asked[0] != "/discovery/hosts?watch=1&after=1" || asked[1] != "/discovery/hosts?watch=1&after=5" ||
-			a.disc.Address("u") != "b" {
+			a.disc.Address("u") != "b:1" {
 			t.Fatalf("asked %q", asked)
 		}
 		if silent := at[1].Sub(from); silent < watchSilent || silent > watchSilent+time.Second {
@@ -463,9 +470,10 @@
 			t.Errorf("a watch that lives was left after %v", lived)
 		}
 		asked, at = nil, nil
+		asked, at = nil, nil
 		news := "event: stage\ndata: release=42&tranche=1&mode=canary&exposure=0.28&old_ms=310\n\n"
 		n["control"] = func(c net.Conn) {
-			stream(c, ":\nevent: stage\ndata: release=x\n\nevent: other\ndata: y\n\n"+news)
+			stream(c, ":\nevent: other\ndata: y\n\n"+news)
 			io.Copy(io.Discard, c)
 		}
 		p := NewPlatform(a.core, n.dial, "control", 800, 1)
@@ -480,6 +488,92 @@
 	})
 }
 
+// What can't be read ends the stream at once, and it is opened again after a pause.
+func TestNoise(t *testing.T) {
+	for _, text := range []string{"event: stage\ndata: release=x\n\n", "event: stage\ndata: release=42&tranche=1&mode=cxnary&" +
+		"exposure=0.28&old_ms=310\n\n", "\x00\x01\x02\n", "event: stage\n\n", "no colon\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			opened := 0
+			n := network{"control": func(c net.Conn) {
+				http.ReadRequest(bufio.NewReader(c))
+				opened++
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+				io.Copy(io.Discard, c)
+			}}
+			a := newAgent(network{}, NewSockets(0))
+			p := NewPlatform(a.core, n.dial, "control", 800, 1)
+			ctx, cancel := context.WithCancel(context.Background())
+			go p.Listen(ctx)
+			time.Sleep(2 * time.Second)
+			if opened < 3 || opened > 9 {
+				t.Errorf("%q: opened %d times in 2 s", text, opened)
+			}
+			cancel()
+			a.close()
+		})
+	}
+}
+
+// A move opens the new stream beside the old one, which stays until the new one tells something, however long that
+// takes and however many moves follow.
+func TestMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		standing := map[string]int{}
+		silent := true
+		n := network{}
+		for _, name := range []string{"list", "b", "c", "control", "e"} {
+			n[name] = func(c net.Conn) {
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				standing[name]++
+				defer func() { standing[name]-- }()
+				if name != "b" || !silent {
+					text := "\n"
+					if r.RequestURI == "/notices" {
+						text = ":\n\n"
+					}
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
+				}
+				io.Copy(io.Discard, c)
+			}
+		}
+		a := newAgent(n, NewSockets(0))
+		p := NewPlatform(a.core, n.dial, "control", 800, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		go a.disc.Run(ctx)
+		go p.Listen(ctx)
+		for _, c := range []struct {
+			address string
+			after   time.Duration
+			want    string
+		}{
+			{"", 500 * time.Millisecond, "map[b:0 c:0 control:1 e:0 list:1]"},
+			{"b", 500 * time.Millisecond, "map[b:1 c:0 control:1 e:0 list:1]"}, // accepts and tells nothing
+			{"nowhere", 500 * time.Millisecond, "map[b:0 c:0 control:1 e:0 list:1]"},
+			{"c", 500 * time.Millisecond, "map[b:0 c:1 control:1 e:0 list:0]"},
+			{"e", 500 * time.Millisecond, "map[b:0 c:1 control:0 e:1 list:0]"},
+		} {
+			if c.address == "e" {
+				p.Move(c.address)
+			} else if c.address != "" {
+				a.disc.Move(c.address)
+			}
+			time.Sleep(c.after)
+			got := map[string]int{"list": 0, "b": 0, "c": 0, "control": 0, "e": 0}
+			for name, k := range standing {
+				got[name] = k
+			}
+			if fmt.Sprint(got) != c.want {
+				t.Errorf("after a move to %q: %v, want %v", c.address, got, c.want)
+			}
+		}
+		cancel()
+		a.close()
+	})
+}
+
 // The table of the platform's answers.
 func TestVotes(t *testing.T) {
 	xml := func(status, body string) string {
@@ -500,6 +594,8 @@
 		{"wrong field", once(xml("400", "<Error><Code>SYNTAX</Code></Error>")), policy.Refused, ""},
 		{"unknown code", once(xml("400", "<Error><Code>ODD</Code></Error>")), policy.Silent, ""},
 		{"not XML", once(xml("200", "<Response")), policy.Silent, ""},
+		{"a word that is not on the page", once(xml("200", strings.Replace(state, "canary", "cxnary", 1))), policy.Silent, ""},
+		{"a code with another status", once(xml("200", "<Error><Code>BUSY</Code></Error>")), policy.Silent, ""},
 		{"says nothing", once(xml("200", "")), policy.Silent, ""},
 		{"cut off", once("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n<Resp"), policy.Silent, ""},
 		{"silent", func(c net.Conn) { io.Copy(io.Discard, c) }, policy.Silent, ""},
@@ -554,7 +650,7 @@
 // Leaving: what comes is served and told to close, /up refuses, and it ends once nothing has come for a while.
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a := newAgent(network{"app": once("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}, NewSockets(0))
+		a := newAgent(network{"app:1": once("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")}, NewSockets(0))
 		a.front.Ready()
 		if resp, _ := a.ask(t, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 			t.Errorf("/up %d", resp.StatusCode)
--- a/internal/httpwire/platform.go
+++ b/internal/httpwire/platform.go
@@ -18,6 +18,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,11 +44,14 @@
 type Platform struct {
 	core    *core.Core
 	dial    Dial
+	mu      sync.Mutex
 	address string
+	moved   chan bool
 	wait    time.Duration
 	chance  *rand.Rand
 	votes   chan ballot
-	conn    *conn // for votes
+	conn    *conn  // for votes
+	connAt  string // its address
 }
 
 type ballot struct {
@@ -59,57 +63,77 @@
 // NewPlatform makes one; a vote is waited for so long (ms).
 func NewPlatform(c *core.Core, dial Dial, address string, wait float64, seed uint64) *Platform {
 	return &Platform{core: c, dial: dial, address: address, wait: time.Duration(wait * 1e6),
-		chance: policy.Chance(seed), votes: make(chan ballot, 64)}
+		chance: policy.Chance(seed), votes: make(chan ballot, 64), moved: make(chan bool, 1)}
+}
+
+// stand is where the newest build stands, as a notice, a vote's answer or the configuration says it.
+type stand struct {
+	build, stage int
+	limit, age   float64
+	phase        policy.Phase
+}
+
+// news reads a stand, whole or not at all.
+func news(field func(string) string) (s stand, err error) {
+	var errs [4]error
+	known := false
+	s.build, errs[0] = strconv.Atoi(field("release"))
+	s.stage, errs[1] = strconv.Atoi(field("tranche"))
+	s.limit, errs[2] = strconv.ParseFloat(field("exposure"), 64)
+	s.age, errs[3] = strconv.ParseFloat(field("old_ms"), 64)
+	s.phase, known = phases[field("mode")]
+	if err := cmp.Or(errs[:]...); err != nil {
+		return s, err
+	}
+	if !known || s.build < 0 || s.stage < 0 || !(s.limit >= 0 && s.limit <= 1) || !(s.age >= 0 && s.age < 1e12) {
+		return s, errors.New("news out of range")
+	}
+	return s, nil
 }
 
 // News hands a state of the newest build to the module, and says whether it could be read.
 func (p *Platform) News(field func(string) string, reply policy.Reply) error {
-	build, err1 := strconv.Atoi(field("release"))
-	stage, err2 := strconv.Atoi(field("tranche"))
-	limit, err3 := strconv.ParseFloat(field("exposure"), 64)
-	age, err4 := strconv.ParseFloat(field("old_ms"), 64)
-	phase, known := phases[field("mode")]
-	if err := errors.Join(err1, err2, err3, err4); err != nil {
+	s, err := news(field)
+	if err != nil {
 		return err
 	}
-	if !known || build < 0 || stage < 0 || !(limit >= 0 && limit <= 1) || !(age >= 0 && age < 1e12) {
-		return errors.New("news out of range")
-	}
-	p.core.News(build, stage, phase, reply, limit, age, true)
-	logrus.WithFields(logrus.Fields{"build": build, "stage": stage, "phase": field("mode"), "cap": limit,
-		"age_ms": age, "vote": reply != policy.Unasked}).Info("news")
+	p.core.News(s.build, s.stage, s.phase, reply, s.limit, s.age, true)
+	logrus.WithFields(logrus.Fields{"build": s.build, "stage": s.stage, "phase": field("mode"), "cap": s.limit,
+		"age_ms": s.age, "vote": reply != policy.Unasked}).Info("news")
 	return nil
 }
 
+// Move names another address: for the notices at once, for votes from the next one on.
+func (p *Platform) Move(address string) {
+	p.mu.Lock()
+	p.address = address
+	p.mu.Unlock()
+	select {
+	case p.moved <- true:
+	default:
+	}
+}
+
+func (p *Platform) at() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address
+}
+
 // Listen follows the notices until ctx ends.
 func (p *Platform) Listen(ctx context.Context) {
-	pause := againFirst
-	for ctx.Err() == nil {
-		told, err := p.notices(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if told {
-			pause = againFirst
-		}
-		logrus.WithError(err).Warn("notices lost")
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration(pause * (0.5 + p.chance.Float64()) * 1e6)):
-		}
-		pause = min(2*pause, againMost)
-	}
+	follow(ctx, p.chance, p.moved, "notices", true, p.notices)
 }
 
-func (p *Platform) notices(ctx context.Context) (told bool, err error) {
-	c, resp, err := open(ctx, p.dial, p.address, "/notices", noticesSilent)
+func (p *Platform) notices(ctx context.Context, told func()) error {
+	c, resp, err := open(ctx, p.dial, p.at(), "/notices", noticesSilent)
 	if err != nil {
-		return false, err
+		return err
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	if resp.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("status %d", resp.StatusCode)
+		return fmt.Errorf("status %d", resp.StatusCode)
 	}
 	logrus.Info("notices stand")
 	event, data := "", ""
@@ -117,31 +141,32 @@
 	lines.Buffer(nil, noticeMost)
 	for lines.Scan() {
 		c.SetReadDeadline(time.Now().Add(noticesSilent))
-		told = true
-		name, value, _ := strings.Cut(lines.Text(), ":")
+		name, value, colon := strings.Cut(lines.Text(), ":")
 		value = strings.TrimPrefix(value, " ")
-		switch name {
-		case "event":
+		switch {
+		case name == "event" && colon:
 			event = value
-		case "data":
+		case name == "data" && colon:
 			data += value
-		case "":
-			if lines.Text() != "" { // a sign of life
-				continue
-			}
+		case name == "" && colon: // a sign of life
+			told()
+		case name == "":
 			if event == "stage" {
 				form, err := url.ParseQuery(data)
 				if err == nil {
 					err = p.News(form.Get, policy.Unasked)
 				}
-				if err != nil {
-					logrus.WithError(err).WithField("data", data).Warn("a notice that can't be read")
+				if err != nil { // noise: the connection is of no further use
+					return fmt.Errorf("a notice that can't be read: %w: %.99q", err, data)
 				}
 			}
+			told()
 			event, data = "", ""
+		default:
+			return fmt.Errorf("a notice that can't be read: %.99q", lines.Text())
 		}
 	}
-	return told, cmp.Or(lines.Err(), errors.New("it ended"))
+	return cmp.Or(lines.Err(), errors.New("it ended"))
 }
 
 // Vote takes a vote to cast; it never waits.
@@ -170,11 +195,8 @@
 			entry := logrus.WithFields(logrus.Fields{"build": b.build, "stage": b.stage, "ruling": rulings[b.verdict]})
 			reply, field, err := p.cast(ctx, b)
 			if reply == policy.Counted {
-				if err = p.News(field, reply); err != nil {
-					reply = policy.Silent // what can't be read may have been carried out
-				}
-			}
-			if reply != policy.Counted {
+				p.News(field, reply)
+			} else {
 				p.reply(reply)
 				entry = entry.WithError(err)
 			}
@@ -187,29 +209,37 @@
 func (p *Platform) cast(ctx context.Context, b ballot) (policy.Reply, func(string) string, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.wait)
 	defer cancel()
-	if c := p.conn; c != nil && (time.Since(c.since) > votesIdle || !quiet(c.Conn)) {
+	address := p.at()
+	if c := p.conn; c != nil && (time.Since(c.since) > votesIdle || p.connAt != address || !quiet(c.Conn)) {
 		c.Close()
 		p.conn = nil
 	}
 	if p.conn == nil {
-		c, err := p.dial(ctx, p.address)
+		c, err := p.dial(ctx, address)
 		if err != nil {
 			return policy.Refused, nil, err
 		}
-		p.conn = newConn(c)
+		p.conn, p.connAt = newConn(c), address
 	}
 	c := p.conn
 	form := fmt.Sprintf("Action=CastVote&release=%d&tranche=%d&ruling=%s", b.build, b.stage, rulings[b.verdict])
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	answer, err := c.exchange([]byte("POST / HTTP/1.1\r\nHost: " + p.address +
+	answer, err := c.exchange([]byte("POST / HTTP/1.1\r\nHost: " + address +
 		"\r\nContent-Type: application/x-www-form-urlencoded\r\nContent-Length: " + strconv.Itoa(len(form)) +
 		"\r\n\r\n" + form))
-	if !stop() || err != nil || answer.closes || c.in.Buffered() > 0 { // a late answer must not pass for the next vote's
+	reply, leaf, why := p.meaning(answer, err)
+	// A late answer must not pass for the next vote's, and after one that can't be read nothing can be told from noise.
+	if !stop() || reply == policy.Silent || answer.closes || c.in.Buffered() > 0 {
 		c.Close()
 		p.conn = nil
 	} else {
 		c.since = time.Now()
 	}
+	return reply, leaf, why
+}
+
+// meaning reads an answer by the protocol's table.
+func (p *Platform) meaning(answer reply, err error) (policy.Reply, func(string) string, error) {
 	if errors.Is(err, errUnsent) {
 		return policy.Refused, nil, err
 	}
@@ -221,10 +251,14 @@
 	case err != nil:
 		return policy.Silent, nil, err
 	case answer.status == http.StatusOK:
+		if _, err := news(leaf); err != nil { // what can't be read may have been carried out
+			return policy.Silent, nil, err
+		}
 		return policy.Counted, leaf, nil
-	case leaf("Code") == "STALE":
+	case answer.status == http.StatusBadRequest && leaf("Code") == "STALE":
 		return policy.Idle, nil, errors.New("stale")
-	case leaf("Code") == "BUSY", leaf("Code") == "FAILED", leaf("Code") == "SYNTAX":
+	case answer.status == http.StatusBadRequest && (leaf("Code") == "BUSY" || leaf("Code") == "SYNTAX"),
+		answer.status == http.StatusInternalServerError && leaf("Code") == "FAILED":
 		return policy.Refused, nil, errors.New(leaf("Code"))
 	}
 	return policy.Silent, nil, fmt.Errorf("status %d, code %q", answer.status, leaf("Code"))
