Answers are read strictly, unread answers tie keys, and load reports are read at all

Cause: a key was tied only by an answer that was read (policy.go, ended), but one that can't be read counts too. What begins and does not end within 200 ms is Broken (before: waited for until the client's time was up). No kept connection is used without a look, and a halted one never goes back to the pool with its deadline past. Bounds: ties end with the last earlier appliance, keys counted 16,384, places of appliances gone for a minute are used again, all that is believed of an id ends with its build. A txn never sent is declined at 0.45 of its time.

--- a/internal/httpwire/upstream.go
+++ b/internal/httpwire/upstream.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -26,9 +27,13 @@
 
 const (
 	bodyMost  = 64 << 10
-	headLines = 64                   // in an answer's head, none longer than the reader's buffer
-	fresh     = 2 * time.Millisecond // a connection used since is taken without a look at whether it still stands
+	headLines = 64 // in an answer's head, none longer than the reader's buffer
+	interims  = 8  // answers ahead of the real one
+	// An appliance writes its answer in one go, 64 KiB at most. What has begun and does not end is spoilt, on a connection
+	// that stays open for good: waiting on is waiting for nothing.
+	restWait  = 200 * time.Millisecond
 	probeWait = 500 * time.Millisecond
+	loadMost  = 1e6 // a figure in a load report beyond this is noise
 )
 
 // Dial opens one connection.
@@ -62,14 +67,35 @@
 // conn is one connection to an appliance or the platform.
 type conn struct {
 	net.Conn
-	in    *bufio.Reader
-	since time.Time
+	in     *bufio.Reader
+	since  time.Time
+	mu     sync.Mutex
+	halted bool
 }
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c, in: bufio.NewReader(c)} }
 
-// Halt interrupts the call under way.
-func (c *conn) Halt() { c.SetDeadline(time.Unix(1, 0)) }
+// Halt interrupts the call under way, for good.
+func (c *conn) Halt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.halted = true
+	c.SetDeadline(time.Unix(1, 0))
+}
+
+// allow gives reading so long, 0: any time; no later than Halt.
+func (c *conn) allow(rest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.halted {
+		return
+	}
+	if rest > 0 {
+		c.SetReadDeadline(time.Now().Add(rest))
+	} else {
+		c.SetReadDeadline(time.Time{})
+	}
+}
 
 // dialling is a connection that is not up yet.
 type dialling context.CancelFunc
@@ -88,7 +114,8 @@
 		c := list[len(list)-1]
 		u.kept[address] = list[:len(list)-1]
 		u.mu.Unlock()
-		if rest := time.Since(c.since); rest < fresh || rest < u.idle && quiet(c.Conn) {
+		// Whatever has come meanwhile, the end included, belongs to no call of ours.
+		if time.Since(c.since) < u.idle && quiet(c.Conn) {
 			return c, nil
 		}
 		c.Close()
@@ -216,30 +243,44 @@
 	if n, err := c.Write(call); n < len(call) {
 		return reply{}, fmt.Errorf("%w: %w", errUnsent, err)
 	}
-	for {
+	// Nothing that is no answer is waited on: what begins otherwise never ends as one.
+	if start, err := c.in.Peek(len(startOf)); err != nil || string(start) != startOf {
+		return reply{}, cmp.Or(err, errMalformed)
+	}
+	c.allow(restWait)
+	for range interims {
 		r, err := c.read()
-		if err != nil || r.status >= 200 || r.status == http.StatusSwitchingProtocols {
+		if err != nil || r.status >= 200 {
 			return r, err
 		} // else an interim answer; the real one follows
+		c.allow(0)
+		if _, err := c.in.Peek(1); err != nil {
+			return r, err
+		}
+		c.allow(restWait)
 	}
+	return reply{}, errMalformed
 }
 
+const startOf = "HTTP/1.1 "
+
 var errMalformed = errors.New("an answer that can't be read")
 
-// read takes an answer apart by hand: the library's reader, with its table of headers, took a tenth of a txn's cost.
+// read takes an answer apart by hand: the library's reader, with its table of headers, took a tenth of a txn's cost. It
+// takes what the page says good answers are and nothing else: a spoilt one must never pass.
 func (c *conn) read() (r reply, err error) {
 	line, err := c.line()
 	if err != nil {
 		return r, err
 	}
-	if len(line) < 12 || string(line[:7]) != "HTTP/1." || line[8] != ' ' || len(line) > 12 && line[12] != ' ' {
+	if len(line) < 12 || string(line[:9]) != startOf || len(line) > 12 && line[12] != ' ' || !text(line) {
 		return r, errMalformed
 	}
-	if r.status, err = strconv.Atoi(string(line[9:12])); err != nil || r.status < 100 {
+	status, ok := digits(line[9:12])
+	if r.status = int(status); !ok || status < 100 || status > 599 || status == http.StatusSwitchingProtocols {
 		return r, errMalformed
 	}
-	r.closes = line[7] == '0'
-	length, chunked := int64(-1), false
+	length, chunked, loads := int64(-1), false, 0
 	for n := 0; ; n++ {
 		if line, err = c.line(); err != nil {
 			return r, err
@@ -248,47 +289,54 @@
 			break
 		}
 		name, value, ok := bytes.Cut(line, []byte{':'})
-		if !ok || n >= headLines {
+		if !ok || n >= headLines || !token(name) || !text(value) {
 			return r, errMalformed
 		}
-		value = bytes.TrimSpace(value)
+		value = bytes.Trim(value, " \t")
 		switch {
 		case bytes.EqualFold(name, []byte("Content-Length")):
-			l, err := strconv.ParseInt(string(value), 10, 64)
-			if err != nil || l < 0 || length >= 0 && l != length {
+			l, ok := digits(value)
+			if !ok || length >= 0 {
 				return r, errMalformed
 			}
 			length = l
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			if chunked = bytes.EqualFold(value, []byte("chunked")); !chunked {
+			if chunked || !bytes.EqualFold(value, []byte("chunked")) {
 				return r, errMalformed
 			}
+			chunked = true
 		case bytes.EqualFold(name, []byte("Connection")):
 			r.closes = r.closes || bytes.EqualFold(value, []byte("close"))
 		case bytes.EqualFold(name, []byte("Content-Type")):
 			r.kind = string(value)
 		case bytes.EqualFold(name, []byte("Srv-Load")):
 			r.load = string(value)
+			if loads++; loads > 1 { // which of them is true?
+				r.load = ""
+			}
 		case bytes.EqualFold(name, []byte("Srv-Declined")):
 			r.declined = string(value) == "1"
 		}
 	}
 	switch {
 	case r.status < 200 || r.status == http.StatusNoContent || r.status == http.StatusNotModified:
+		if length > 0 || chunked {
+			return r, errMalformed
+		}
+	case chunked == (length >= 0): // both, or neither: where it ends can't be told
+		return r, errMalformed
 	case chunked:
 		r.body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.in), bodyMost+1))
 		if err == nil && len(r.body) <= bodyMost {
-			line, err = c.line() // the end of the trailers, which are none here
-			r.closes = r.closes || len(line) > 0
+			if line, err = c.line(); err == nil && len(line) > 0 { // trailers, of which there are none
+				err = errMalformed
+			}
 		}
 	case length > bodyMost:
 		return r, errTooLong
-	case length >= 0:
+	default:
 		r.body = make([]byte, length)
 		_, err = io.ReadFull(c.in, r.body)
-	default:
-		r.closes = true
-		r.body, err = io.ReadAll(io.LimitReader(c.in, bodyMost+1))
 	}
 	if err == nil && len(r.body) > bodyMost {
 		err = errTooLong
@@ -296,6 +344,38 @@
 	return r, err
 }
 
+// digits reads a plain number, short enough not to overflow.
+func digits(b []byte) (n int64, ok bool) {
+	for _, d := range b {
+		if d < '0' || d > '9' {
+			return 0, false
+		}
+		n = n*10 + int64(d-'0')
+	}
+	return n, len(b) > 0 && len(b) <= 18
+}
+
+// token tells that a name is one by HTTP's grammar.
+func token(b []byte) bool {
+	for _, c := range b {
+		letter := c|0x20 >= 'a' && c|0x20 <= 'z'
+		if !letter && (c < '0' || c > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// text tells that nothing but printable characters and tabs stands in a line.
+func text(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 var errTooLong = errors.New("an answer too long")
 
 func (c *conn) line() ([]byte, error) {
@@ -303,7 +383,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return bytes.TrimRight(line, "\r\n"), nil
+	if len(line) < 2 || line[len(line)-2] != '\r' {
+		return nil, errMalformed
+	}
+	return line[:len(line)-2], nil
 }
 
 // answer is what goes back to the client.
@@ -340,6 +423,7 @@
 		return policy.Unconnected, reply{}
 	}
 	if called, late := s.Begin(c); called || late { // not written yet: it must not go out now
+		s.Begin(nil)
 		u.put(address, c)
 		if called {
 			return policy.Revoked, reply{}
@@ -351,7 +435,7 @@
 	call = strconv.AppendInt(call, max(int64(s.Until-u.core.Now()), 1), 10)
 	r, err := c.exchange(append(append(call, "m\r\n\r\n"...), body...))
 	called, late := s.Begin(nil)
-	if called || late || err != nil || r.closes || c.in.Buffered() > 0 {
+	if c.allow(0); called || late || err != nil || r.closes || c.in.Buffered() > 0 {
 		c.Close()
 	} else {
 		u.put(address, c)
@@ -397,22 +481,24 @@
 	u.core.Probed(appliance, ok, u.core.Now()-from, waiting, busy)
 }
 
-// load reads what a load report may tell; -1 stands for a figure that is not there.
+// load reads what a load report may tell, whole or not at all; -1 stands for a figure that is not there. The settings
+// name the fields by the simulator's words, the protocol's example by its own: both are read.
 func load(report string) (waiting, busy float64) {
 	waiting, busy = -1, -1
 	inflight := -1.0
 	for part := range strings.SplitSeq(report, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		name, value, _ := strings.Cut(part, "=")
+		odd := strings.ContainsFunc(value, func(c rune) bool { return c != '.' && (c < '0' || c > '9') })
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || v < 0 || v > 1e9 {
-			continue
+		if err != nil || odd || v > loadMost || !token([]byte(name)) {
+			return -1, -1
 		}
 		switch name {
-		case "queue":
+		case "q", "queue":
 			waiting = v
-		case "inflight":
+		case "rif", "inflight":
 			inflight = v
-		case "util":
+		case "busy", "util":
 			busy = v
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,7 @@
 	paceTime     = 4000 // over which the load that warm appliances bear is averaged
 	doubtTime    = 5000 // over which an appliance's record fades
 	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
+	holdMost     = 0.45 // of a try's time, for a txn that was never sent
 	holdPart     = 0.6  // of the txns that an agent can bear: beyond it one that finds no place is declined
 	blameFrom    = 0.25 // of the SLA time: an answer within it is no fault of the appliance
 	limitBinds   = 0.6  // part of the limit from which it is taken to bind
@@ -138,10 +139,8 @@
 
 // mayGo guards rules 2 to 5 for one submission of t to appliance i.
 func (a *Agent) mayGo(t *txn, i int) bool {
-	if t.ended || a.now >= t.expiry || len(t.subs) >= a.maxSubs || t.out > 1 || t.out == 1 && !a.copies {
-		return false
-	}
-	if a.state[i] != Running { // stricter than the grace: nothing goes where the list shows a drain
+	if t.ended || a.now >= t.expiry || len(t.subs) >= a.maxSubs || t.out > 1 || t.out == 1 && !a.copies ||
+		a.state[i] != Running { // stricter than the grace: nothing goes where the list shows a drain
 		return false
 	}
 	p := &a.products[t.product]
@@ -161,18 +160,19 @@
 
 // exposed keeps the cap by a bucket: in any stretch of time at most free + cap x txns taken in it can leave.
 func (a *Agent) exposed(t *txn, i int) bool {
-	if tie, ok := a.ties[t.key]; ok && t.key != "" && a.builds[i] < tie {
-		return false
-	}
 	limit, on := a.capOf(a.builds[i])
-	if !on {
-		return true
+	if free := a.builds[i] >= max(a.ties[t.key], a.owing[t.key].build); !on || !free {
+		return free
 	}
 	guarded := a.stage < a.guarded || a.builds[i] > a.newest && a.guarded > 0
-	if limit <= 0 || guarded && a.products[t.product].Effect != InquiryLike {
-		return false
-	}
-	return a.bucket(a.builds[i])[a.lane(t.product)] >= 1
+	shut := limit <= 0 || guarded && a.products[t.product].Effect != InquiryLike
+	return !shut && a.bucket(a.builds[i])[a.lane(t.product)] >= 1
+}
+
+// binds: an answer from this build keeps the key from earlier ones, as long as any are there and it is not called back.
+func (a *Agent) binds(t *txn, build int) bool {
+	called := a.phase == GoingBack || a.phase == Withdrawn
+	return a.keysStay && t.key != "" && a.known && build > a.oldest && (build < a.newest || !called)
 }
 
 // warmEnough keeps the cold budget: a part, by the least warmth, of what warm appliances are seen to serve.
@@ -292,7 +292,8 @@
 	racing := many && a.probes && t.races < racers && !mute
 	// Probes lost or waiting in queues alike: only those who went on without them can tell which.
 	t.blind = t.blind || many && !racing
-	if len(t.subs) >= a.maxSubs || !inTime || many && t.races == 0 && !a.flows(0, t) ||
+	late := len(t.subs) == 0 && a.now >= a.lastHold(t) // a client with its time half gone has nowhere else to go
+	if len(t.subs) >= a.maxSubs || !inTime || late || many && t.races == 0 && !a.flows(0, t) ||
 		t.blind && !t.held && !a.flows(1, t) {
 		a.end(t) // given up: answered at once
 		return
@@ -308,10 +309,12 @@
 	} else if !t.held {
 		t.held = true
 		a.held = append(a.held, t)
-		a.look(max(t.sla-a.least(t), a.now+retryPause), t)
+		a.look(max(min(t.sla-a.least(t), a.lastHold(t)), a.now+retryPause), t)
 	}
 }
 
+func (a *Agent) lastHold(t *txn) float64 { return t.came + holdMost*(t.expiry-t.came) }
+
 // least: what an answer takes. Bounded, or a product sent no more would keep its worst hour's for ever.
 func (a *Agent) least(t *txn) float64 {
 	return min(a.usual[t.product], usualMost*a.products[t.product].SLA)
@@ -494,13 +497,13 @@
 	}
 	if r == Settled {
 		a.learn(s.app, t, took)
-		_, on := a.capOf(s.build)
-		if a.keysStay && t.key != "" && (on || s.build == a.newest && a.phase == Released) {
-			a.ties[t.key] = max(a.ties[t.key], s.build)
-		}
+	}
+	// An answer that was spoilt on its way, or came when nobody read it, has tied its key all the same.
+	if a.binds(t, s.build) && r != Errored && !s.unrun {
+		a.ties[t.key] = max(a.ties[t.key], s.build)
 	}
 	// Proven not run, called off: no word on the build.
-	if a.known && !math.IsInf(took, 1) && r != Rejected && r != Unconnected && r != Moot && r != Revoked {
+	if a.known && !math.IsInf(took, 1) && !s.unrun && r != Revoked {
 		a.witness(s, t, r, took)
 	}
 	switch {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -172,6 +172,104 @@
 	}
 }
 
+// Whether an answer was read or not, and while it may still come, its key stays; one that failed or never ran binds
+// nothing, nor does one that ends after its build was called back.
+func TestKeysUnread(t *testing.T) {
+	for _, c := range []struct {
+		result Result // 0: still out
+		phase  Phase
+		open   bool // an earlier build may serve the key
+	}{{Settled, OnTrial, false}, {Broken, OnTrial, false}, {TimedOut, OnTrial, false}, {Revoked, OnTrial, false},
+		{0, OnTrial, false}, {Errored, OnTrial, true}, {Rejected, OnTrial, true}, {Unconnected, OnTrial, true},
+		{0, GoingBack, true}, {Settled, GoingBack, true}} {
+		a, r := tier(Product{}, 1)
+		a.Expose(2, []float64{1}, 0, false, true)
+		a.News(2, 2, 0, OnTrial, Unasked, 1, 0, true)
+		a.List(3, []Listed{{ID: "x", Build: 2, Rating: 1}, {ID: "a", Build: 1, State: Draining, Rating: 1}}, false, false)
+		a.Txn(10, "t", "k", 0, 0, false, 400, 0)
+		a.News(15, 2, 0, c.phase, Unasked, 1, 0, true)
+		if c.result != 0 {
+			a.Outcome(20, "t", 0, c.result, true, 10, -1, -1)
+		}
+		expect(t, "first", r.take()[0], "submit t x")
+		a.List(30, []Listed{{ID: "x", Build: 2, State: Draining, Rating: 1}, {ID: "a", Build: 1, Rating: 1}}, false, false)
+		a.Txn(40, "u", "k", 0, 0, false, 4000, 0)
+		expect(t, fmt.Sprint("result ", c.result, ", phase ", c.phase), len(r.take()) == 1, c.open)
+	}
+}
+
+// What comes and goes for good leaves nothing behind, and an id that returns is new in all that is believed of it.
+func TestTurnover(t *testing.T) {
+	a, r := tier(Product{}, 3)
+	a.Expose(2, []float64{1}, 0, false, true)
+	now := 10.0
+	for k := range 40000 {
+		now += 4
+		if k%20 == 0 {
+			id := fmt.Sprint("x", k)
+			a.List(now, []Listed{{ID: id, Build: 1 + k/400, Rating: 1}}, false, false)
+			if k >= 200 {
+				a.List(now, []Listed{{ID: fmt.Sprint("x", k-200), State: Gone}}, false, false)
+			}
+		}
+		if k%400 == 0 {
+			a.News(now, 1+k/400, 0, Released, Unasked, 1, 0, true)
+		}
+		id := fmt.Sprint(k)
+		a.Txn(now, id, "key"+id, 0, 0, false, 400, 0)
+		for _, did := range r.take() {
+			if strings.HasPrefix(did, "submit "+id+" ") {
+				a.Outcome(now+2, id, 0, Settled, true, 2, -1, -1)
+			}
+		}
+		if k == 39999 {
+			for range 100 { // alarms that are still set
+				now += 10
+				a.Wake(now, a.token)
+			}
+		}
+	}
+	for _, c := range []struct {
+		name      string
+		got, most int
+	}{{"txns", len(a.txns), 0}, {"keys owed", len(a.owing), 0},
+		{"keys counted", len(a.sightings), keysMost + 1}, {"appliances", len(a.id), 1000}, {"names", len(a.index), 1000},
+		{"hashes", len(a.hashes), 1000}, {"alarms", len(a.alarms), 9}, {"allowances", len(a.allow), 3},
+		{"held", len(a.held), 0}, {"to do", len(a.todo), 0}} {
+		if c.got > c.most {
+			t.Errorf("%s: %d left, %d at the most", c.name, c.got, c.most)
+		}
+	}
+	a.List(now, []Listed{{ID: "a", State: Gone}, {ID: "b", State: Gone}, {ID: "c", State: Gone}}, false, false)
+	a.List(now, []Listed{{ID: "y", Build: 500, Rating: 1}}, true, false)
+	a.Wake(now+judgePause, 0)
+	expect(t, "ties where nothing earlier is left", len(a.ties), 0)
+	i := a.index["y"]
+	a.good[i], a.poor[i], a.rel[i], a.inRow[i], a.told[i], a.limit[i] = 5, 9, 4, 3, 7, 1
+	a.List(now+1, []Listed{{ID: "y", Build: 501, Rating: 1}}, false, false)
+	expect(t, "believed", []float64{a.good[i], a.poor[i], a.rel[i], a.inRow[i], a.told[i], a.limit[i]}, "[0 0 1 0 0 4]")
+}
+
+// A txn for which there is no place is declined while its client still has time to go elsewhere.
+func TestHalfGone(t *testing.T) {
+	for _, c := range []struct{ left, after float64 }{{4000, 1000}, {1600, 720}, {300, 135}} {
+		a, r := tier(Product{}, 0)
+		a.Txn(10, "t", "", 0, 0, false, c.left, 0)
+		for now := 10.0; now < 5000; now++ {
+			if len(a.alarms) > 0 && a.alarms[0].at <= now {
+				a.Wake(now, a.token)
+			}
+			if len(r.did) > 0 {
+				if took := now - 10; took > c.after+retryPause || took < c.after-retryPause {
+					t.Errorf("%.0f ms: declined after %.0f", c.left, took)
+				}
+				break
+			}
+		}
+		expect(t, "declined", r.take(), "[decline t]")
+	}
+}
+
 // A cold appliance gets no more than its part, be it alone, among warm ones or after a restart.
 func TestCold(t *testing.T) {
 	for _, c := range []struct {
--- a/policy/state.go
+++ b/policy/state.go
@@ -50,6 +50,12 @@
 	steady  bool // its latency counts
 }
 
+const (
+	keysMost = 1 << 14 // bound on the keys that are counted
+	appsMost = 64      // appliances from which places of those long gone are used again
+	longGone = 60000   // no txn still knows it then
+)
+
 // fleet holds what is known of each appliance, in parallel arrays under a small index.
 type fleet struct {
 	index                       map[string]int
@@ -68,6 +74,8 @@
 	recent                      [][]float64
 	goodAll, poorAll, notedAt   float64 // the record of all
 	openAll                     int
+	oldest                      int // build of any listed appliance
+	goneAt                      []float64
 	members                     [2][]int // running appliances, of earlier builds and on trial
 	bear                        [2]float64
 	limitAll, warm, heaviest    float64
@@ -77,6 +85,9 @@
 	grace, within, askAt        float64
 }
 
+// owed is a build at which submissions for a key are out: their answers may tie it before they are seen.
+type owed struct{ build, out int }
+
 // trial is what is known of the newest build.
 type trial struct {
 	newest, stage int
@@ -132,6 +143,7 @@
 	allow                              map[int][]float64 // by build: what may still go, by product
 	cap                                float64
 	ties                               map[string]int
+	owing                              map[string]owed
 	sightings                          map[string]float64
 	taken                              float64
 
@@ -172,6 +184,7 @@
 	a.most, a.armed, a.recallAt, a.flow = math.Inf(1), math.Inf(1), math.Inf(1), [2]float64{1, 1}
 	a.salt = a.rnd.Uint64()
 	a.allow, a.ties, a.sightings = map[int][]float64{}, map[string]int{}, map[string]float64{}
+	a.owing = map[string]owed{}
 	a.index, a.hashes, a.me = map[string]int{}, map[uint32]int{}, me
 	a.judgeAt = math.Inf(1)
 	return a
@@ -254,7 +267,11 @@
 	a.surveyAt = a.now + judgePause
 	a.members[0], a.members[1] = a.members[0][:0], a.members[1][:0]
 	a.bear, a.limitAll, a.warm, a.heaviest, a.trialCap = [2]float64{}, 0, 0, 0, 0
+	oldest := math.MaxInt
 	for i := range a.id {
+		if a.state[i] != Gone {
+			oldest = min(oldest, a.builds[i])
+		}
 		if a.state[i] != Running {
 			continue
 		}
@@ -270,6 +287,20 @@
 			a.warm += a.rating[i]
 		}
 	}
+	if oldest == a.oldest || oldest == math.MaxInt {
+		return
+	}
+	a.oldest = oldest
+	for k, b := range a.ties { // nothing earlier is left to keep the key from
+		if b <= a.oldest {
+			delete(a.ties, k)
+		}
+	}
+	for b := range a.allow {
+		if b < a.oldest && b < a.newest {
+			delete(a.allow, b)
+		}
+	}
 }
 
 // at sets the time of an input and sees whether the agent stood still before it: its own timers tell.
@@ -290,6 +321,13 @@
 	}
 	t.subs = append(t.subs, submission{app: i, build: a.builds[i], at: a.now, due: a.due(t), out: true})
 	t.out++
+	if o := a.owing[t.key]; a.binds(t, a.builds[i]) && a.builds[i] >= o.build {
+		if a.builds[i] > o.build {
+			o = owed{build: a.builds[i]}
+		}
+		o.out++
+		a.owing[t.key] = o
+	}
 	a.open[i]++
 	a.openAll++
 	a.port.Submit(t.id, a.id[i], 0)
@@ -314,35 +352,28 @@
 	a.at(now)
 	if whole {
 		for i := range a.state {
-			a.state[i] = Gone
+			if a.state[i] != Gone {
+				a.state[i], a.goneAt[i] = Gone, now
+			}
 		}
 	}
 	for _, e := range entries {
 		i, ok := a.index[e.ID]
 		if !ok {
-			i = len(a.id)
-			a.index[e.ID], a.hashes[hash(e.ID)] = i, i
-			a.id = append(a.id, e.ID)
-			a.builds, a.zones = append(a.builds, 0), append(a.zones, 0)
-			a.kinds, a.cells = append(a.kinds, 0), append(a.cells, 0)
-			a.state, a.rating, a.start = append(a.state, Gone), append(a.rating, 1), append(a.start, -1)
-			a.open, a.good, a.poor = append(a.open, 0), append(a.good, 0), append(a.poor, 0)
-			a.seenAt, a.rel, a.recent = append(a.seenAt, 0), append(a.rel, 1), append(a.recent, nil)
-			a.level, a.levelAt = append(a.level, 0), append(a.levelAt, now)
-			a.limit = append(a.limit, limitFirst)
-			a.told, a.toldAt = append(a.told, 0), append(a.toldAt, now)
-			a.inRow, a.restUntil = append(a.inRow, 0), append(a.restUntil, 0)
+			i = a.spare()
+			a.index[e.ID], a.hashes[hash(e.ID)], a.id[i] = i, i, e.ID
+			a.open[i], a.seenAt[i], a.start[i], a.builds[i] = 0, 0, -1, 0
 		}
 		if a.start[i] != e.Start || a.builds[i] != e.Build {
 			// A re-used id or a restart: nothing learned of the former process holds, and it is cold.
 			a.good[i], a.poor[i], a.rel[i], a.recent[i], a.level[i], a.levelAt[i] = 0, 0, 1, nil, 0, now
-			a.inRow[i], a.restUntil[i], a.told[i] = 0, 0, 0
+			a.inRow[i], a.restUntil[i], a.told[i], a.toldAt[i], a.limit[i] = 0, 0, 0, now, limitFirst
 			if a.agents >= manyAgents && e.Start > 0 { // by chance, or all would start at once, and none soon
 				a.level[i] = a.rnd.Float64()
 			}
 		}
 		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
-		a.state[i], a.rating[i], a.start[i] = e.State, max(e.Rating, 0.01), e.Start
+		a.state[i], a.rating[i], a.start[i], a.goneAt[i] = e.State, max(e.Rating, 0.01), e.Start, now
 	}
 	if !old {
 		a.failures = 0
@@ -351,6 +382,31 @@
 	a.settle()
 }
 
+// spare is a place in the arrays: a new one, or where there are many that of an appliance long gone.
+func (a *Agent) spare() int {
+	for i := range a.id {
+		if len(a.id) >= appsMost && a.state[i] == Gone && a.open[i] == 0 && a.now > a.goneAt[i]+longGone {
+			delete(a.index, a.id[i])
+			delete(a.hashes, hash(a.id[i]))
+			for arm := range a.evidence {
+				for p, e := range a.evidence[arm] {
+					a.evidence[arm][p] = slices.DeleteFunc(e, func(o outcome) bool { return o.app == i })
+				}
+			}
+			return i
+		}
+	}
+	for _, x := range []*[]int{&a.builds, &a.zones, &a.kinds, &a.cells, &a.open} {
+		*x = append(*x, 0)
+	}
+	for _, x := range []*[]float64{&a.rating, &a.start, &a.good, &a.poor, &a.seenAt, &a.rel, &a.level, &a.levelAt, &a.limit,
+		&a.told, &a.toldAt, &a.inRow, &a.restUntil, &a.goneAt} {
+		*x = append(*x, 0)
+	}
+	a.id, a.state, a.recent = append(a.id, ""), append(a.state, Gone), append(a.recent, nil)
+	return len(a.id) - 1
+}
+
 func (a *Agent) lane(product int) int {
 	if a.perProduct {
 		return product
@@ -497,13 +553,7 @@
 	for p := range a.evidence[1] {
 		a.evidence[1][p] = nil
 	}
-	// Keys seen long ago are forgotten: popularity is of late, and the record must not grow for ever.
-	for k, n := range a.sightings {
-		if a.sightings[k] = n / 2; n < 2 {
-			delete(a.sightings, k)
-		}
-	}
-	a.taken /= 2
+	a.fade()
 	a.places, a.placed = 0, 0
 	for i := range a.id {
 		if a.state[i] != Gone && a.builds[i] < build { // also what its successor already drains
@@ -531,6 +581,16 @@
 	a.judgeAt = a.now
 }
 
+// fade forgets keys seen long ago: popularity is of late, and the record must not grow for ever.
+func (a *Agent) fade() {
+	for k, n := range a.sightings {
+		if a.sightings[k] = n / 2; n < 2 {
+			delete(a.sightings, k)
+		}
+	}
+	a.taken /= 2
+}
+
 // witness files a submission's end as evidence.
 func (a *Agent) witness(s *submission, t *txn, r Result, took float64) {
 	o := outcome{at: a.now, lat: took / t.cost, bad: r == Errored || r == Broken, broken: r == Broken, app: s.app}
@@ -600,7 +660,9 @@
 	}
 	a.taken++
 	if a.keysStay && key != "" {
-		a.sightings[key]++
+		if a.sightings[key]++; len(a.sightings) > keysMost {
+			a.fade()
+		}
 	}
 	if !again {
 		a.asks(now)
@@ -627,6 +689,13 @@
 		s.out, s.unrun = false, r == Rejected || r == Unconnected || r == Moot
 		t.out--
 		t.ended = t.ended || final
+		if o, ok := a.owing[t.key]; ok && o.build == s.build {
+			if o.out--; o.out > 0 {
+				a.owing[t.key] = o
+			} else {
+				delete(a.owing, t.key)
+			}
+		}
 		a.open[s.app]--
 		a.openAll--
 		a.recallAt = now
@@ -660,6 +729,11 @@
 					delete(a.ties, k)
 				}
 			}
+			for k, o := range a.owing {
+				if o.build == build {
+					delete(a.owing, k)
+				}
+			}
 		}
 		a.known, a.newest, a.stage, a.phase, a.cap, a.surveyAt = true, build, stage, phase, limit, now
 	}
