A sign test beside the percentiles sees a slow build within its stage

Ruled out: failures (0 of 42), heat (0.94 to 1.1), reports. At fault: policy.go compare, five slices and four degrees of freedom. Now most outcomes beyond zone and machines' differences are enough from three machines on; also against outside trouble that falls on new machines: their spread widens the zone, one bad slice is not most. Could harm a good build whose several machines are all in trouble that earlier ones lack. By the test: sent back 17 times of 100 before, over 80 now; as fast 0 or 1, 1.15 times slower at most 2.

--- a/policy/notes.go
+++ b/policy/notes.go
@@ -76,10 +76,7 @@
 
 // file keeps evidence in order of time.
 func (a *Agent) file(build, product int, o outcome) {
-	arm := 0
-	if build >= a.newest {
-		arm = 1
-	}
+	arm := index(build >= a.newest)
 	u := &a.usualLat[product]
 	if *u == 0 {
 		*u = o.lat
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,19 +23,17 @@
 	floorOn     = 3000  // no 'on' sooner after the stage's listed start times
 	floorRoom   = 550   // more: the stage's own clock starts only about a second after its machines
 	wait        = 4000  // short of outcomes, 'on' comes after this barring a regression
-	cut         = 5     // slices
 	leastSample = 20    // outcomes by build and product
 	onLevel     = 2.13  // Student's t, four degrees: 90%
 	erring      = 0.04  // chance that so many agents as undo a build do so wrongly, a quarter of it for latency
 	errMost     = 0.05  // the chance for one agent at the most: troubles befall many alike
 	fewRoom     = 0.4   // wider zone there: how machines of one build differ is not known
+	slowRoom    = 0.15  // the same where few decide, beyond what machines are seen to differ by
 	fewSlow     = 4     // outcomes below the least sample that may yet tell of slowness, where many must agree
 	percentiles = 2     // that must be wholly slower: one of many looked at so often is by chance
 	stalled     = 10000 // after which a stage is judged with the machines that are listed
 	judges      = 3     // agents that are told of all outcomes, where messages are allowed
 	alone       = 2000  // those who know less leave it so long to others, where few or one decide
-	tellPause   = 500
-	noteMost    = 250 // bytes in a message
 	heatTime    = 3000
 	hotLong     = 7000
 	releaseTail = 500 // after a release, by which all traffic has moved over
@@ -43,22 +41,20 @@
 	fewestEach  = 3   // machines, of so many outcomes each, that tell how machines of one build differ
 	keep        = 400 // outcomes kept by build and product
 
-	coldMargin   = 0.7  // part of the cold budget used: work varies, and other agents are not seen
-	coldDepth    = 0.25 // part of the budget's window that may go at once, against a burst on a fresh machine
-	paceTime     = 4000 // over which the load that warm appliances bear is averaged
-	doubtTime    = 5000 // over which an appliance's record fades
-	doubtBar     = 0.7  // a drawn chance below this part of the fleet's: the appliance is passed over
-	holdMost     = 0.45 // of a try's time, for a txn that was never sent
-	holdPart     = 0.6  // of the txns that an agent can bear: beyond it one that finds no place is declined
-	blameFrom    = 0.25 // of the SLA time: an answer within it is no fault of the appliance
-	limitBinds   = 0.6  // part of the limit from which it is taken to bind
-	limitFirst   = 4
+	coldMargin   = 0.7   // part of the cold budget used: work varies, and other agents are not seen
+	coldDepth    = 0.25  // part of the budget's window that may go at once, against a burst on a fresh machine
+	paceTime     = 4000  // over which the load that warm appliances bear is averaged
+	doubtTime    = 5000  // over which an appliance's record fades
+	doubtBar     = 0.7   // a drawn chance below this part of the fleet's: the appliance is passed over
+	holdMost     = 0.45  // of a try's time, for a txn that was never sent
+	holdPart     = 0.6   // of the txns that an agent can bear: beyond it one that finds no place is declined
+	blameFrom    = 0.25  // of the SLA time: an answer within it is no fault of the appliance
+	limitBinds   = 0.6   // part of the limit from which it is taken to bind
 	flowDown     = 0.4   // part fewer of the txns taken on, for each that tells of a shortage
 	flowUp       = 0.1   // part more for each that settled in time
 	flowFull     = 0.75  // from which all are taken on: a late answer now and then is no shortage
 	flowTime     = 20000 // within which a shortage is forgotten
 	unanswered   = 0.3   // of a shortage: an answer may as well be lost
-	limitLeast   = 2     // for all agents together
 	purseTime    = 2000  // over which a tenant's share may be used unevenly
 	crossZone    = 1.5   // times the load it has: an appliance in another zone, where crossing is priced
 	reportTime   = 1500  // over which a load report fades: it was late and noisy when it came
@@ -84,12 +80,15 @@
 	capPart      = 0.9  // of the cap: the trial share that is aimed at
 	popularShare = 0.2  // of the cap: a key with more of the txns is not taken into a trial
 
-	hotAt, hotEnds       = 1.6, 1.35 // times the latency before the build: hot, and no longer so
-	limitUp, limitDown   = 0.20, 4.0 // open submissions more for an answer in time, fewer for a late one
-	restFirst, restMost  = 20, 1000  // an appliance's rest after a quick failure, and after many
-	renewAt, renewSpread = 0.7, 0.2  // of a vote's life, and up to this later, so that renewals scatter
-	usualStep, relStep   = 0.02, 0.1 // weight of one answer in a usual figure, and in one appliance's
-	askFirst, askMost    = 0.02, 0.3 // of the time in which the list must be asked for: pauses after failures
+	cut                    = 5         // slices
+	tellPause, noteMost    = 500, 250  // and bytes in a message
+	limitFirst, limitLeast = 4, 2      // by appliance; the least is for all agents together
+	hotAt, hotEnds         = 1.6, 1.35 // times the latency before the build: hot, and no longer so
+	limitUp, limitDown     = 0.20, 4.0 // open submissions more for an answer in time, fewer for a late one
+	restFirst, restMost    = 20, 1000  // an appliance's rest after a quick failure, and after many
+	renewAt, renewSpread   = 0.7, 0.2  // of a vote's life, and up to this later, so that renewals scatter
+	usualStep, relStep     = 0.02, 0.1 // weight of one answer in a usual figure, and in one appliance's
+	askFirst, askMost      = 0.02, 0.3 // of the time in which the list must be asked for: pauses after failures
 )
 
 // rules are gone through in order after every input, from the top again after each that fires.
@@ -169,7 +168,7 @@
 	return !shut && a.bucket(a.builds[i])[a.lane(t.product)] >= 1
 }
 
-// binds: an answer from this build keeps the key from earlier ones, as long as any are there and it is not called back.
+// binds: an answer from this build keeps the key from earlier ones, while any are there and it stays.
 func (a *Agent) binds(t *txn, build int) bool {
 	called := a.phase == GoingBack || a.phase == Withdrawn
 	return a.keysStay && t.key != "" && a.known && build > a.oldest && (build < a.newest || !called)
@@ -229,10 +228,7 @@
 // room tells that own open submissions, at the appliance and in all, are fewer than those lately answered in
 // time: it keeps queues short where agents are few. The dear may use the last of them.
 func (a *Agent) room(t *txn, i int) bool {
-	part := 1.0
-	if t.revenue < a.worth {
-		part = dearOnly
-	}
+	part := [2]float64{1, dearOnly}[index(t.revenue < a.worth)]
 	here, all := max(a.limit[i]*part, 1), max(a.limitAll*part, 2)
 	return a.now >= a.restUntil[i] && float64(a.open[i]) < here && float64(a.openAll) < all
 }
@@ -419,10 +415,7 @@
 // pickIn draws appliances of one arm by what each can bear, compared by own open work: agents that see little
 // would else all find the same few best. Drawn first, tested after: cost must not grow with the fleet.
 func (a *Agent) pickIn(t *txn, trial bool) int {
-	in := a.members[0]
-	if trial {
-		in = a.members[1]
-	}
+	in := a.members[index(trial)]
 	best, bestLoad := -1, math.Inf(1)
 	for n, tries := 0, 0; n < choices && tries < mostTries && len(in) > 0; tries++ {
 		i := in[a.rnd.IntN(len(in))]
@@ -527,10 +520,8 @@
 		a.renew = a.now + a.life*(renewAt+renewSpread*a.rnd.Float64())
 		return
 	}
-	pause := float64(votePause)
-	if reply == Idle { // the stage has moved on and the news is late: asking again tells nothing
-		pause = idlePause
-	}
+	// Idle: the stage has moved on and the news is late, asking again tells nothing.
+	pause := [2]float64{votePause, idlePause}[index(reply == Idle)]
 	a.voteAt = a.now + pause*(0.5+a.rnd.Float64())
 	a.look(a.voteAt, nil)
 }
@@ -661,6 +652,15 @@
 		}
 		return false, worse
 	}
+	// Percentiles by slices need hundreds of outcomes to see a build twice as slow; its stage is over by then.
+	// Most of the outcomes beyond what machines of one build differ by are enough. One bad slice is not most.
+	x, y := latencies(neu), latencies(since(old, neu))
+	apart := 2 * spread(old, fewestEach, fewestEach, outcome.logged) / math.Sqrt(machines(neu))
+	apart += 1 + zoneLatency + slowRoom
+	if over := above(x, y, apart); alike && machines(neu) >= fewestEach && len(y) >= leastSample &&
+		(distuv.Beta{Alpha: over + 0.5, Beta: float64(len(x)) - over + 0.5}).CDF(0.5) < err/4 {
+		return false, fmt.Sprintf("latency: %.0f of %d beyond %.2f times the usual", over, len(x), apart)
+	}
 	ns, paired := slice(neu, nil, cut, leastSample/cut)
 	os, paired := slice(old, neu, cut, leastSample/cut)
 	if sn, so := each(ns, kept), each(os, kept); cv(sn) <= agreeCV && cv(so) <= agreeCV {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -320,6 +320,7 @@
 		{"failures", 200, 1, 0.2, 1, false, "failures"},
 		{"failures, few outcomes", 10, 1, 0.4, 1, false, "failures"},
 		{"too few", 15, 2, 0, 1, false, ""},
+		{"one slice far slower, few outcomes", 40, 1, 0, 20, false, ""},
 		{"two failures are too few", 10, 1, 0.2, 1, false, ""},
 	} {
 		arm := func(slow, bad, jump float64) (out []outcome) {
@@ -548,6 +549,41 @@
 	}
 }
 
+// With the few outcomes of a stage, and latencies as uneven as they are, a build twice as slow is seen and one that is
+// not is left alone; so is one of whose few machines some are in trouble that earlier ones know too.
+func TestSlow(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		times            float64
+		machines, ailing int // of the new ones: so many are four times slower, as one of six earlier ones is
+		least, most      int // times of 100 that it is sent back
+	}{{"twice as slow", 2.3, 5, 0, 80, 100}, {"as fast", 1, 5, 0, 0, 1}, {"hardly slower", 1.15, 5, 0, 0, 2},
+		{"a machine in trouble", 1, 5, 1, 0, 2}, {"two machines only", 2.3, 2, 0, 0, 60}} {
+		backs := 0
+		for seed := range uint64(100) {
+			rnd := Chance(seed * 7919)
+			arm := func(n, machines int, times float64, ailing func(app int) bool) (out []outcome) {
+				for k := range n {
+					o := outcome{at: float64(k) / float64(n), lat: 70 * times * math.Exp(0.7*rnd.NormFloat64()), app: k % machines, steady: true}
+					if ailing(o.app) {
+						o.lat *= 4
+					}
+					out = append(out, o)
+				}
+				return out
+			}
+			neu := arm(50, c.machines, c.times, func(app int) bool { return app < c.ailing })
+			old := arm(600, 18, 1, func(app int) bool { return app%6 == 0 && c.ailing > 0 })
+			if _, worse := compare(neu, old, true, false, 0.0133, 1); worse != "" {
+				backs++
+			}
+		}
+		if backs < c.least || backs > c.most {
+			t.Errorf("%s: sent back %d times of 100, want %d to %d", c.name, backs, c.least, c.most)
+		}
+	}
+}
+
 // How sure one agent must be goes by how many undo a build and how many look.
 func TestLevels(t *testing.T) {
 	for _, c := range []struct {
--- a/policy/state.go
+++ b/policy/state.go
@@ -235,6 +235,13 @@
 	a.purse, a.purseAt = make([]float64, len(quotas)), make([]float64, len(quotas))
 }
 
+func index(second bool) int {
+	if second {
+		return 1
+	}
+	return 0
+}
+
 // newMachines counts the newest build's and tells when the last of them started.
 func (a *Agent) newMachines() (n int) {
 	a.lastStart = 0
--- a/policy/stats.go
+++ b/policy/stats.go
@@ -159,6 +159,8 @@
 
 func (o outcome) latency() (float64, bool) { return o.lat, o.steady }
 
+func (o outcome) logged() (float64, bool) { return math.Log(max(o.lat, 1e-6)), o.steady }
+
 func (o outcome) failed() (float64, bool) {
 	if o.bad {
 		return 1, true
@@ -186,6 +188,20 @@
 	return float64((x^x>>29)>>11) / (1 << 53)
 }
 
+// above counts the values of x beyond so many times the median of y.
+func above(x, y []float64, times float64) (n float64) {
+	if len(y) == 0 {
+		return 0
+	}
+	edge := times * quantile(0.5, y)
+	for _, v := range x {
+		if v > edge {
+			n++
+		}
+	}
+	return n
+}
+
 // ratio is the lower end of an interval on how many times larger x is than y, by the mean of logarithms.
 func ratio(x, y []float64, least int, level float64) float64 {
 	if len(x) < least || len(y) < least {
