--- a/cmd/onyxgate/main.go
+++ b/cmd/onyxgate/main.go
@@ -129,7 +129,8 @@
 	}
 	if memoryMB > 0 { // the rest is for stacks, the program itself and what the collector is late with
 		debug.SetMemoryLimit(int64(memoryMB) << 20 * 6 / 10)
-		debug.SetGCPercent(1000) // little is live: at the usual 100 the collector would run many times a second
+		// Little is live at some hundreds of txns a second, and the collector cheap; at more, peaks would pass for growth.
+		debug.SetGCPercent(150)
 	}
 	listener, err := net.Listen("tcp", or(s.Listen, "listen"))
 	if err != nil {
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -179,6 +179,8 @@
 		{"part of a head, then silence", stays("HTTP/1.1 200 OK\r\nConte"), policy.Broken, 503},
 		{"part of a body, then silence", stays("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody"), policy.Broken, 503},
 		{"noise, then silence", stays("\x00\x01\x02 and so on"), policy.Broken, 503},
+		{"a few bytes, then silence", stays("HT"), policy.Broken, 503},
+		{"an interim answer and part of the next", stays("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 2"), policy.Broken, 503},
 		{"3 GB", stays("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nbody"), policy.Broken, 503},
 		{"too long", once("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n"), policy.Broken, 503},
 		{"no end of lines", once("HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 9000)), policy.Broken, 503},
--- a/internal/httpwire/platform.go
+++ b/internal/httpwire/platform.go
@@ -223,7 +223,7 @@
 	}
 	c := p.conn
 	form := fmt.Sprintf("Action=CastVote&release=%d&tranche=%d&ruling=%s", b.build, b.stage, rulings[b.verdict])
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.Halt)
 	answer, err := c.exchange([]byte("POST / HTTP/1.1\r\nHost: " + address +
 		"\r\nContent-Type: application/x-www-form-urlencoded\r\nContent-Length: " + strconv.Itoa(len(form)) +
 		"\r\n\r\n" + form))
--- a/internal/httpwire/upstream.go
+++ b/internal/httpwire/upstream.go
@@ -243,21 +243,19 @@
 	if n, err := c.Write(call); n < len(call) {
 		return reply{}, fmt.Errorf("%w: %w", errUnsent, err)
 	}
-	// Nothing that is no answer is waited on: what begins otherwise never ends as one.
-	if start, err := c.in.Peek(len(startOf)); err != nil || string(start) != startOf {
-		return reply{}, cmp.Or(err, errMalformed)
-	}
-	c.allow(restWait)
 	for range interims {
-		r, err := c.read()
-		if err != nil || r.status >= 200 {
-			return r, err
-		} // else an interim answer; the real one follows
 		c.allow(0)
 		if _, err := c.in.Peek(1); err != nil {
-			return r, err
+			return reply{}, err
 		}
 		c.allow(restWait)
+		// What begins otherwise never ends as an answer.
+		if start, err := c.in.Peek(len(startOf)); err != nil || string(start) != startOf {
+			return reply{}, cmp.Or(err, errMalformed)
+		}
+		if r, err := c.read(); err != nil || r.status >= 200 {
+			return r, err
+		} // else an interim answer; the real one follows
 	}
 	return reply{}, errMalformed
 }
@@ -466,12 +464,11 @@
 	address, ok := u.address(appliance), false
 	waiting, busy := -1.0, -1.0
 	if c, err := u.get(nil, address); err == nil {
-		c.SetDeadline(time.Now().Add(probeWait))
+		wait := time.AfterFunc(probeWait, c.Halt)
 		r, err := c.exchange([]byte("GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n"))
-		if err != nil || r.closes || c.in.Buffered() > 0 {
+		if c.allow(0); !wait.Stop() || err != nil || r.closes || c.in.Buffered() > 0 {
 			c.Close()
 		} else {
-			c.SetDeadline(time.Time{})
 			u.put(address, c)
 		}
 		if ok = err == nil && r.status == http.StatusOK; ok && u.onProbes {
