Submissions past hope are given up; breaks that all machines show are no word on a build

Ruled out: load (18 ms at the median), CPU (a third), sockets. At fault: overdue and ended (policy.go) wait for the client's time. Now each product's tail is followed (97% stay under it), and one that outlasts it 1.5 times is called off and tried elsewhere; at most a tenth of the txns, no second copy, nothing that may not run again. In a shortage the tail grows with the queues, and the part binds. Should answer any lost answer; could waste work on a class with rare giants. Where over 2% of the earlier build's break, breaks count on neither side. Harm: a build that breaks connections would be seen later there.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,33 +16,19 @@
 )
 
 const (
-	zoneLatency = 0.10  // per latency percentile
-	zoneSingle  = 0.05  // for single figures
-	agreeCV     = 0.15  // gate two's bound on slices
-	farMore     = 2.0   // slices differ so many times more than halves of one: they do not agree
-	floorOn     = 3000  // no 'on' sooner after the stage's listed start times
-	floorRoom   = 550   // more: the stage's own clock starts only about a second after its machines
 	wait        = 4000  // short of outcomes, 'on' comes after this barring a regression
 	leastSample = 20    // outcomes by build and product
 	onLevel     = 2.13  // Student's t, four degrees: 90%
 	erring      = 0.04  // chance that so many agents as undo a build do so wrongly, a quarter of it for latency
 	errMost     = 0.05  // the chance for one agent at the most: troubles befall many alike
-	fewRoom     = 0.4   // wider zone there: how machines of one build differ is not known
-	slowRoom    = 0.15  // the same where few decide, beyond what machines are seen to differ by
+	breakUsual  = 0.02  // connections of the earlier build that break: beyond, breaks are no word on a build
 	fewSlow     = 4     // outcomes below the least sample that may yet tell of slowness, where many must agree
 	percentiles = 2     // that must be wholly slower: one of many looked at so often is by chance
 	stalled     = 10000 // after which a stage is judged with the machines that are listed
-	judges      = 3     // agents that are told of all outcomes, where messages are allowed
-	alone       = 2000  // those who know less leave it so long to others, where few or one decide
-	heatTime    = 3000
-	hotLong     = 7000
-	releaseTail = 500 // after a release, by which all traffic has moved over
-	demandMore  = 1.3 // times the txns before the build: the cause of any heat
-	fewestEach  = 3   // machines, of so many outcomes each, that tell how machines of one build differ
-	keep        = 400 // outcomes kept by build and product
-
-	coldMargin   = 0.7   // part of the cold budget used: work varies, and other agents are not seen
-	coldDepth    = 0.25  // part of the budget's window that may go at once, against a burst on a fresh machine
+	releaseTail = 500   // after a release, by which all traffic has moved over
+	demandMore  = 1.3   // times the txns before the build: the cause of any heat
+	fewestEach  = 3     // machines, of so many outcomes each, that tell how machines of one build differ
+
 	paceTime     = 4000  // over which the load that warm appliances bear is averaged
 	doubtTime    = 5000  // over which an appliance's record fades
 	doubtBar     = 0.7   // a drawn chance below this part of the fleet's: the appliance is passed over
@@ -50,8 +36,6 @@
 	holdPart     = 0.6   // of the txns that an agent can bear: beyond it one that finds no place is declined
 	blameFrom    = 0.25  // of the SLA time: an answer within it is no fault of the appliance
 	limitBinds   = 0.6   // part of the limit from which it is taken to bind
-	flowDown     = 0.4   // part fewer of the txns taken on, for each that tells of a shortage
-	flowUp       = 0.1   // part more for each that settled in time
 	flowFull     = 0.75  // from which all are taken on: a late answer now and then is no shortage
 	flowTime     = 20000 // within which a shortage is forgotten
 	unanswered   = 0.3   // of a shortage: an answer may as well be lost
@@ -59,35 +43,44 @@
 	crossZone    = 1.5   // times the load it has: an appliance in another zone, where crossing is priced
 	reportTime   = 1500  // over which a load report fades: it was late and noisy when it came
 	manyAgents   = 10    // from which own open work tells too little of an appliance's load
-	racers       = 2     // appliances probed for a txn at once, and times that this is done
-	raceTime     = 0.12  // of the SLA time, before a place is picked without an answer
-	mostTries    = 40
-	stoodStill   = 60   // a timer this late: the agent itself stood still
-	choices      = 6    // random appliances compared for a place: an agent sees but its own part of the load
-	dearOnly     = 0.6  // part of the limit that is for any revenue
-	recallTries  = 4    // held txns in a row that find no place before the rest wait on
-	retryPause   = 25   // between looks for a place
-	endGuard     = 12   // the final answer leaves so long before the expiry
-	judgePause   = 200  // between looks at the evidence and sums over the fleet
-	idlePause    = 3000 // after an answer that the vote does not fit, unless the stage changes
-	votePause    = 300  // before a vote that did not count is sent again
-	usualMost    = 0.5  // of the SLA time: what an answer is taken to need at the most
-	adviseLeast  = 0.25 // of the longest wait that clients follow: the advice, and up to
-	adviseSpread = 0.5  // this more, so that they do not come back together
-	relMost      = 10   // times the usual: what one answer counts at the most
-	lowPart      = 0.3  // the quantile that is taken for a low latency
-	steadyLeast  = 12   // outcomes of a machine whose halves are compared
-	capPart      = 0.9  // of the cap: the trial share that is aimed at
-	popularShare = 0.2  // of the cap: a key with more of the txns is not taken into a trial
-
-	cut                    = 5         // slices
+	stoodStill   = 60    // a timer this late: the agent itself stood still
+	dearOnly     = 0.6   // part of the limit that is for any revenue
+	recallTries  = 4     // held txns in a row that find no place before the rest wait on
+	retryPause   = 25    // between looks for a place
+	endGuard     = 12    // the final answer leaves so long before the expiry
+	judgePause   = 200   // between looks at the evidence and sums over the fleet
+	usualMost    = 0.5   // of the SLA time: what an answer is taken to need at the most
+	relMost      = 10    // times the usual: what one answer counts at the most
+	lowPart      = 0.3   // the quantile that is taken for a low latency
+	steadyLeast  = 12    // outcomes of a machine whose halves are compared
+	capPart      = 0.9   // of the cap: the trial share that is aimed at
+	popularShare = 0.2   // of the cap: a key with more of the txns is not taken into a trial
+
+	agreeCV, farMore        = 0.15, 2.0  // gate two: bound on slices; times more than halves of one differ
+	zoneLatency, zoneSingle = 0.10, 0.05 // per latency percentile, for single figures
+	fewRoom, slowRoom       = 0.4, 0.15  // wider zone: where many decide on little; few
+	floorOn, floorRoom      = 3000, 550  // no 'on' sooner after a stage's listed start times, and its clock's
+	judges, alone           = 3, 2000    // told of all outcomes; others leave it so long to them
+	heatTime, hotLong       = 3000, 7000
+	coldMargin, coldDepth   = 0.7, 0.25 // of the cold budget; of its window at once, against bursts
+	flowDown, flowUp        = 0.4, 0.1  // of the txns taken on: fewer for each that tells of a shortage, more
+	racers, raceTime        = 2, 0.12   // probed at once, rounds; of the SLA time, without an answer
+
+	adviseLeast, adviseSpread = 0.25, 0.5 // of the longest wait that clients follow, and up to more
+	tailPart, tailTimes       = 0.97, 1.5 // of the answers stay under the tail; hope ends at so many times it
+	giveUp, giveUpMost        = 0.1, 20   // submissions given up: for each txn, and at once
+
+	choices, mostTries     = 6, 40     // random appliances compared: an agent sees but its part of the load
+	votePause, idlePause   = 300, 3000 // before a vote is sent again that did not count, or did not fit
+	cut, keep              = 5, 400    // slices; outcomes kept by build and product
 	tellPause, noteMost    = 500, 250  // and bytes in a message
 	limitFirst, limitLeast = 4, 2      // by appliance; the least is for all agents together
 	hotAt, hotEnds         = 1.6, 1.35 // times the latency before the build: hot, and no longer so
 	limitUp, limitDown     = 0.20, 4.0 // open submissions more for an answer in time, fewer for a late one
 	restFirst, restMost    = 20, 1000  // an appliance's rest after a quick failure, and after many
-	renewAt, renewSpread   = 0.7, 0.2  // of a vote's life, and up to this later, so that renewals scatter
+	renewAt, renewSpread   = 0.7, 0.2  // of a vote's life, and up to this later: renewals scatter
 	usualStep, relStep     = 0.02, 0.1 // weight of one answer in a usual figure, and in one appliance's
+	tailStep               = 0.2       // and in the tail
 	askFirst, askMost      = 0.02, 0.3 // of the time in which the list must be asked for: pauses after failures
 )
 
@@ -221,7 +214,7 @@
 	}
 	a.worth += (t.revenue - a.worth) * max(usualStep, 1/a.taken)
 	a.fill(a.lane(t.product))
-	a.todo = append(a.todo, t)
+	a.todo, a.spares = append(a.todo, t), min(a.spares+giveUp, giveUpMost)
 	a.look(t.expiry-endGuard, t)
 }
 
@@ -360,15 +353,24 @@
 	}
 }
 
-// overdue holds a late submission against its appliance at once. No second copy goes out: they fed shortages.
+// overdue holds a late submission against its appliance at once, and gives up one past hope to try elsewhere:
+// answers get lost on any way. No second copy goes out, and only a part is given up: both feed shortages.
 func (a *Agent) overdue() {
 	t := a.todo[0]
 	a.next()
 	for k := range t.subs {
-		if s := &t.subs[k]; s.out && !s.late && a.now >= s.due {
-			s.late = true
-			a.note(s.app, false)
+		s := &t.subs[k]
+		hopeless := a.now >= s.at+tailTimes*a.tail[t.product] && len(t.subs) < a.maxSubs && a.spares >= 1
+		if !s.out || s.late || a.now < s.due && !(hopeless && a.now+a.least(t) < t.sla) {
+			continue
+		}
+		s.late = true
+		a.note(s.app, false)
+		if a.now >= s.due {
 			a.press(s.app, false)
+		} else {
+			s.called, a.spares = true, a.spares-1
+			a.port.Revoke(t.id, k)
 		}
 	}
 }
@@ -698,11 +700,11 @@
 	if backs < fewSlow && machines(neu) >= fewestEach { // no single machine's trouble is the build's
 		neu = withoutWorst(neu)
 	}
-	f := fails(neu)
-	if f < 3 {
-		f -= breaks(neu) // which, when few, speak of the way or a machine
+	f, g := fails(neu), fails(old)
+	if f < 3 || float64(breaks(old)) > breakUsual*float64(len(old)) { // breaks speak of the way or a machine
+		f, g = f-breaks(neu), g-breaks(old)
 	}
-	base := (float64(fails(old)) + 0.1) / (float64(len(old)) + 1)
+	base := (float64(g) + 0.1) / (float64(len(old)) + 1)
 	// Released, it has no other machines beside it: trouble of a few of its own must not pass for its doing.
 	uneven := spread(old, fewestEach, fewestEach, outcome.failed)
 	if released {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -250,6 +251,58 @@
 	expect(t, "believed", []float64{a.good[i], a.poor[i], a.rel[i], a.inRow[i], a.told[i], a.limit[i]}, "[0 0 1 0 0 4]")
 }
 
+// A submission that outlasts nearly all answers is given up and tried elsewhere, where that may be; no more than a part.
+func TestHopeless(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		effect      Effect
+		lost        int // of 100 txns: whose first submission is never answered
+		least, most int // of them that are settled in time all the same
+	}{{"some answers lost", InquiryLike, 8, 100, 100}, {"repeats known", Referenced, 8, 100, 100},
+		{"never to run twice", OnceOnly, 8, 92, 92}, {"most answers lost", InquiryLike, 60, 40, 70}} {
+		a, r := tier(Product{SLA: 1000, Expiry: 4000, Revenue: 1, Effect: c.effect, Remember: 9000}, 20)
+		type answer struct {
+			at  float64
+			id  string
+			sub int
+		}
+		var coming []answer // each after 20 ms, so in order
+		tries, settled := map[string]int{}, 0
+		for now := 10.0; now < 7000; now++ {
+			if k := int(now) / 10; int(now)%10 == 0 && k <= 600 {
+				a.Txn(now, fmt.Sprint(k), "", 0, 0, false, 4000, 0)
+			}
+			for len(coming) > 0 && coming[0].at <= now {
+				if t := a.txns[coming[0].id]; t != nil {
+					a.Outcome(now, coming[0].id, coming[0].sub, Settled, true, 20, -1, -1)
+					if k, _ := strconv.Atoi(coming[0].id); k > 500 {
+						settled++
+					}
+				}
+				coming = coming[1:]
+			}
+			a.Wake(now, a.token)
+			for did := r.take(); len(did) > 0; did = append(did[1:], r.take()...) {
+				var what, id, x string
+				fmt.Sscan(did[0], &what, &id, &x)
+				k, _ := strconv.Atoi(id)
+				if what == "revoke" {
+					a.Outcome(now, id, tries[id]-1, Revoked, false, 150, -1, -1)
+				}
+				if what == "submit" {
+					if k <= 500 || tries[id] > 0 || k*c.lost/100 == (k-1)*c.lost/100 {
+						coming = append(coming, answer{now + 20, id, tries[id]})
+					}
+					tries[id]++
+				}
+			}
+		}
+		if settled < c.least || settled > c.most {
+			t.Errorf("%s: %d of 100 settled, want %d to %d", c.name, settled, c.least, c.most)
+		}
+	}
+}
+
 // A txn for which there is no place is declined while its client still has time to go elsewhere.
 func TestHalfGone(t *testing.T) {
 	for _, c := range []struct{ left, after float64 }{{4000, 1000}, {1600, 720}, {300, 135}} {
@@ -584,6 +637,40 @@
 	}
 }
 
+// How sure one agent must be goes by how many undo a build and how many look.
+func TestSlow(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		times            float64
+		machines, ailing int // of the new ones: so many are four times slower, as one of six earlier ones is
+		least, most      int // times of 100 that it is sent back
+	}{{"twice as slow", 2.3, 5, 0, 80, 100}, {"as fast", 1, 5, 0, 0, 1}, {"hardly slower", 1.15, 5, 0, 0, 2},
+		{"a machine in trouble", 1, 5, 1, 0, 2}, {"two machines only", 2.3, 2, 0, 0, 60}} {
+		backs := 0
+		for seed := range uint64(100) {
+			rnd := Chance(seed * 7919)
+			arm := func(n, machines int, times float64, ailing func(app int) bool) (out []outcome) {
+				for k := range n {
+					o := outcome{at: float64(k) / float64(n), lat: 70 * times * math.Exp(0.7*rnd.NormFloat64()), app: k % machines, steady: true}
+					if ailing(o.app) {
+						o.lat *= 4
+					}
+					out = append(out, o)
+				}
+				return out
+			}
+			neu := arm(50, c.machines, c.times, func(app int) bool { return app < c.ailing })
+			old := arm(600, 18, 1, func(app int) bool { return app%6 == 0 && c.ailing > 0 })
+			if _, worse := compare(neu, old, true, false, 0.0133, 1); worse != "" {
+				backs++
+			}
+		}
+		if backs < c.least || backs > c.most {
+			t.Errorf("%s: sent back %d times of 100, want %d to %d", c.name, backs, c.least, c.most)
+		}
+	}
+}
+
 // How sure one agent must be goes by how many undo a build and how many look.
 func TestLevels(t *testing.T) {
 	for _, c := range []struct {
--- a/policy/state.go
+++ b/policy/state.go
@@ -165,6 +165,8 @@
 	armed                        float64
 	token                        uint64
 	usual                        []float64 // mean latency by product
+	tail                         []float64 // latency under which tailPart of the answers stay, by product
+	spares                       float64   // submissions that may be given up
 	usualLat                     []float64 // the same as evidence has it, for its told cost
 	pace, paceAt                 float64
 	paceAge                      float64
@@ -192,8 +194,11 @@
 
 func (a *Agent) Serve(products []Product, maxSubs int, copies, revoke bool) {
 	a.products, a.maxSubs, a.copies, a.revoke = products, maxSubs, copies, revoke
-	a.usualLat = make([]float64, len(products))
+	a.usualLat, a.tail = make([]float64, len(products)), make([]float64, len(products))
 	a.usual, a.longest = make([]float64, len(products)), make([]float64, len(products))
+	for p := range a.tail {
+		a.tail[p] = math.Inf(1)
+	}
 	a.before.usual, a.hotSince, a.excuse = make([]float64, len(products)), math.Inf(1), 1
 	for i := range a.evidence {
 		a.evidence[i] = make([][]outcome, len(products))
@@ -344,6 +349,9 @@
 	t.held = false
 	a.send(t, i)
 	a.look(t.subs[len(t.subs)-1].due, t)
+	if hope := a.now + tailTimes*a.tail[t.product]; hope < t.sla {
+		a.look(hope, t)
+	}
 }
 
 func (a *Agent) tried(t *txn, i int) bool {
@@ -537,6 +545,16 @@
 		*u = took
 	}
 	*u += usualStep * (took - *u)
+	// Up by each answer beyond it and down by the others, so that tailPart of them stay under it.
+	q := &a.tail[t.product]
+	if math.IsInf(*q, 1) && a.revoke && a.products[t.product].Effect != OnceOnly { // else nothing is ever past hope
+		*q = relMost * took
+	}
+	if took > *q {
+		*q *= math.Exp(tailStep * tailPart)
+	} else {
+		*q *= math.Exp(-tailStep * (1 - tailPart))
+	}
 	if a.meanMs == 0 {
 		a.meanMs = took
 	}
