A leaving agent keeps its clients' connections until the kill is near

The kill is known: the longest time of a txn, at most 3 s, and 0.7 s. Until 1.5 s before it connections stay; no txn is held beyond 0.3 s before it (before, one with more time than that could be found unanswered, which is lost). Where nobody is connected it ends after 0.7 s.

--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -35,10 +35,14 @@
 	// What fits into a socket's buffer is written at once.
 	writeFree = 4 << 10
 	writeMost = 10 * time.Second
-	// New connections come for up to 0.4 s after the signal; the kill no sooner than the longest time of a txn and
-	// 0.7 s after it.
+	// New connections come for up to 0.4 s after the signal; the kill comes no sooner than the longest time of a txn, at most
+	// 3 s, and 0.7 s after it.
 	leaveOpen = 700 * time.Millisecond
-	leaveRest = 150 * time.Millisecond // without a txn, before the listener is closed
+	leaveMost = 3000.0
+	// Before the kill: connections end with their txn, and whatever is still held has its answer.
+	leaveClose  = 1500 * time.Millisecond
+	leaveAnswer = 300 * time.Millisecond
+	leaveRest   = 150 * time.Millisecond // without a txn, before the listener is closed
 )
 
 // Front serves clients.
@@ -53,7 +57,9 @@
 	room     int64 // bytes of bodies at once
 	bodies   atomic.Int64
 	ready    atomic.Bool
-	leaving  atomic.Bool
+	kill     time.Duration // after the signal to leave, at the soonest
+	killAt   atomic.Int64  // 0: not leaving
+	closing  atomic.Bool
 	active   atomic.Int64
 	lastAt   atomic.Int64 // when a txn last began or ended
 	Refused  atomic.Int64 // bad input, by whatever status
@@ -64,10 +70,13 @@
 	open int, room int64) *Front {
 	f := &Front{core: c, up: up, sockets: sockets, products: map[string]int{}, revokes: revokes, open: open,
 		room: room}
+	longest := 0.0
 	for i, name := range names {
+		longest = max(longest, products[i].Expiry)
 		f.products[name] = i
 		f.effects = append(f.effects, products[i].Effect)
 	}
+	f.kill = time.Duration(min(longest, leaveMost)*1e6) + leaveOpen
 	return f
 }
 
@@ -89,12 +98,12 @@
 }
 
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.leaving.Load() || f.sockets.Full() {
+	if f.closing.Load() || f.sockets.Full() {
 		w.Header().Set("Connection", "close")
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	if path == "/up" && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
-		if !f.ready.Load() || f.leaving.Load() {
+		if !f.ready.Load() || f.killAt.Load() != 0 {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 		return
@@ -191,6 +200,9 @@
 		return
 	}
 
+	if at := f.killAt.Load(); at != 0 { // what the kill finds without an answer is lost
+		left = min(left, float64(at-int64(leaveAnswer)-time.Now().UnixNano())/1e6)
+	}
 	first := head(r, len(body))
 	submit := func(s *core.Submission) { f.up.Submit(s, first, body) }
 	t := f.core.Take(came, id, key, product, r.Header.Get("Req-Retry") == "1", left, submit)
@@ -300,17 +312,24 @@
 }
 
 // Leave serves what is there and what still comes, and returns once nothing does: connections arrive for a while
-// after the signal, and clients use those that they hold for as long as these stay open.
+// after the signal, and clients use those that they hold for as long as these stay open. They do so until the kill is
+// near: the next agent may be away just then, and clients that were sent off would find nobody.
 func (f *Front) Leave(ctx context.Context, server *http.Server) {
-	f.leaving.Store(true)
-	f.core.Leave()
 	from := time.Now()
+	f.killAt.Store(from.Add(f.kill).UnixNano())
+	f.core.Leave()
 	for tick := time.NewTicker(20 * time.Millisecond); ctx.Err() == nil; <-tick.C {
-		if time.Since(from) < leaveOpen {
+		since := time.Since(from)
+		if since < leaveOpen {
 			continue
 		}
-		f.sockets.CloseIdle()
-		if f.active.Load() == 0 && time.Since(time.Unix(0, f.lastAt.Load())) > leaveRest {
+		if since >= f.kill-leaveClose {
+			f.closing.Store(true)
+			f.sockets.CloseIdle()
+		}
+		_, clients, _ := f.sockets.Used()
+		quiet := f.closing.Load() && time.Since(time.Unix(0, f.lastAt.Load())) > leaveRest
+		if f.active.Load() == 0 && (clients == 0 || quiet) {
 			break
 		}
 	}
