Broken connections lower no appliance's limit

Each break took 4 off its machine's limit and each answer in time gives 0.2 (policy.go, ended, press). Ruled out: the list (20 listed), sockets (118 of 384), CPU. A break is doubted and rested as before. Guards against any trouble of the way; harm: an appliance that resets under load is left to rests and doubt.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -486,7 +486,7 @@
 	}
 	if r != Revoked && r != Moot && !s.late {
 		a.note(s.app, good)
-		if r != Unconnected && r != Errored {
+		if r != Unconnected && r != Errored && r != Broken { // what breaks on the way is no word on the load
 			a.press(s.app, good)
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -813,6 +813,24 @@
 	}
 }
 
+// Connections that break on the way do not shut an appliance's door; late answers do.
+func TestBroken(t *testing.T) {
+	for _, c := range []struct {
+		result Result
+		falls  bool
+	}{{Broken, false}, {Errored, false}, {Unconnected, false}, {Rejected, true}, {TimedOut, true}} {
+		a, _ := tier(Product{}, 1)
+		for k := range 20 {
+			a.now = float64(10 + 1000*k)
+			a.Txn(a.now, fmt.Sprint(k), "", 0, 0, false, 4000, 0)
+			if len(a.txns[fmt.Sprint(k)].subs) > 0 {
+				a.Outcome(a.now+1, fmt.Sprint(k), 0, c.result, true, 1, -1, -1)
+			}
+		}
+		expect(t, fmt.Sprint("after result ", c.result, " the limit fell"), a.limit[0] < limitFirst, c.falls)
+	}
+}
+
 // An appliance answers for its own time, not for what a txn waited here before it was placed.
 func TestBlame(t *testing.T) {
 	for _, c := range []struct {
