--- a/internal/httpwire/discovery.go
+++ b/internal/httpwire/discovery.go
@@ -215,9 +215,6 @@
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
-	}
 	logrus.WithField("after", version).Info("watch stands")
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, linesMost)
@@ -248,6 +245,9 @@
 	if err == nil {
 		resp, err = http.ReadResponse(bufio.NewReader(c), nil)
 	}
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", resp.StatusCode)
+	}
 	if err != nil || ctx.Err() != nil {
 		c.Close()
 		return nil, nil, cmp.Or(err, ctx.Err())
@@ -261,11 +261,6 @@
 	c, resp, err := open(ctx, d.dial, d.at(), "/discovery/hosts", fetchWait)
 	if err == nil {
 		defer c.Close()
-		if resp.StatusCode != http.StatusOK {
-			err = fmt.Errorf("status %d", resp.StatusCode)
-		}
-	}
-	if err == nil {
 		lines := bufio.NewScanner(resp.Body)
 		lines.Buffer(nil, linesMost)
 		if lines.Scan() {
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -7,9 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -569,10 +572,10 @@
 	for _, text := range []string{"event: stage\ndata: release=x\n\n", "event: stage\ndata: release=42&tranche=1&mode=cxnary&" +
 		"exposure=0.28&old_ms=310\n\n", "\x00\x01\x02\n", "event: stage\n\n", "no colon\n"} {
 		synctest.Test(t, func(t *testing.T) {
-			opened := 0
+			var opened atomic.Int64
 			n := network{"control": func(c net.Conn) {
 				http.ReadRequest(bufio.NewReader(c))
-				opened++
+				opened.Add(1)
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
 				io.Copy(io.Discard, c)
 			}}
@@ -581,8 +584,8 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			go p.Listen(ctx)
 			time.Sleep(2 * time.Second)
-			if opened < 3 || opened > 9 {
-				t.Errorf("%q: opened %d times in 2 s", text, opened)
+			if k := opened.Load(); k < 3 || k > 9 {
+				t.Errorf("%q: opened %d times in 2 s", text, k)
 			}
 			cancel()
 			a.close()
@@ -594,8 +597,8 @@
 // takes and however many moves follow.
 func TestMove(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		standing := map[string]int{}
-		silent := true
+		var mu sync.Mutex
+		standing, silent := map[string]int{}, true
 		n := network{}
 		for _, name := range []string{"list", "b", "c", "control", "e"} {
 			n[name] = func(c net.Conn) {
@@ -603,8 +606,13 @@
 				if err != nil {
 					return
 				}
-				standing[name]++
-				defer func() { standing[name]-- }()
+				count := func(by int) {
+					mu.Lock()
+					defer mu.Unlock()
+					standing[name] += by
+				}
+				count(1)
+				defer count(-1)
 				if name != "b" || !silent {
 					text := "\n"
 					if r.RequestURI == "/notices" {
@@ -638,9 +646,9 @@
 			}
 			time.Sleep(c.after)
 			got := map[string]int{"list": 0, "b": 0, "c": 0, "control": 0, "e": 0}
-			for name, k := range standing {
-				got[name] = k
-			}
+			mu.Lock()
+			maps.Copy(got, standing)
+			mu.Unlock()
 			if fmt.Sprint(got) != c.want {
 				t.Errorf("after a move to %q: %v, want %v", c.address, got, c.want)
 			}
@@ -727,8 +735,14 @@
 // beyond that, and it ends once nothing has come for a while; at once where nobody is connected.
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
 		answer := "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-		a := newAgent(network{"app:1": func(c net.Conn) { stays(answer)(c) }}, NewSockets(0))
+		a := newAgent(network{"app:1": func(c net.Conn) {
+			mu.Lock()
+			peer := stays(answer)
+			mu.Unlock()
+			peer(c)
+		}}, NewSockets(0))
 		a.front.Ready()
 		if resp, _ := a.ask(t, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n"); resp.StatusCode != 200 {
 			t.Errorf("/up %d", resp.StatusCode)
@@ -756,7 +770,9 @@
 		if !kept.(*counted).closed {
 			t.Error("an idle connection stands although the kill is near")
 		}
+		mu.Lock()
 		answer = ""
+		mu.Unlock()
 		resp, _ := a.ask(t, strings.Replace(good, "2000m", "9000m", 1))
 		if took := time.Since(from); resp.StatusCode != 503 || took > 3400*time.Millisecond {
 			t.Errorf("a txn that finds no answer got %d after %v", resp.StatusCode, took)
--- a/internal/httpwire/platform.go
+++ b/internal/httpwire/platform.go
@@ -132,9 +132,6 @@
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
-	}
 	logrus.Info("notices stand")
 	event, data := "", ""
 	lines := bufio.NewScanner(resp.Body)
