--- /dev/null
+++ b/cmd/rehearse/day.go
@@ -0,0 +1,174 @@
+package main
+
+// This file owns the newcomer's day: what a tier of agents does while a build is rolled out.
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/mattn/go-isatty"
+	"github.com/schollz/progressbar/v3"
+
+	"onyxgate/internal/standin/tier"
+)
+
+type day struct {
+	Seed     uint64        `default:"1" help:"Draws traffic and faults."`
+	Length   time.Duration `default:"24s" help:"How long clients send."`
+	Rate     float64       `default:"150" help:"Txns a second."`
+	Bad      float64       `default:"0" help:"Share of txns that the new build fails."`
+	Settings string        `type:"path" help:"Our settings for the agents."`
+	Short    bool          `help:"8 s, and only what must hold on any machine."`
+	JSON     bool          `help:"Figures as JSON in place of the table."`
+}
+
+// figures of a day; the rules are counted by clients and appliances.
+type figures struct {
+	Seed     uint64                    `json:"seed"`
+	Txns     int                       `json:"txns"`
+	Outcomes map[string]map[string]int `json:"outcomes"`
+	Lost     int                       `json:"lost"`
+	Late     int                       `json:"late"`
+	Broken   tier.Broken               `json:"rules_broken"`
+	P50      float64                   `json:"p50_ms"`
+	P99      float64                   `json:"p99_ms"`
+	Stages   []string                  `json:"stages"`
+}
+
+func (d day) Run() error {
+	if d.Short {
+		d.Length = 8 * time.Second
+	}
+	dir, err := os.MkdirTemp("", "rehearse")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	program, err := build(dir, "")
+	if err != nil {
+		return err
+	}
+	w, err := tier.New(3, 10, 3, d.Seed)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	c, err := newCrew(w, program, dir)
+	if err != nil {
+		return err
+	}
+	for i := range w.Agents {
+		if _, err := c.start(i, d.Seed+uint64(i), d.Settings); err != nil {
+			return err
+		}
+	}
+	defer c.stop()
+	clients := tier.NewClients(w, c.address, d.Seed)
+	defer clients.Close()
+	ctx, stop := context.WithTimeout(context.Background(), d.Length)
+	defer stop()
+	began := time.Now()
+	time.AfterFunc(d.Length/8, func() { w.Offer(2, d.Bad) })
+	go progress(ctx, d.Length, w)
+	clients.Run(ctx, func() float64 { return d.Rate }, d.Seed)
+	broken := c.stop()
+	c.run = make([]*process, w.Agents)
+
+	f := figures{Seed: d.Seed, Outcomes: map[string]map[string]int{}, Broken: w.Audit()}
+	times := hdrhistogram.New(1, 60_000_000, 3)
+	for _, g := range clients.Log() {
+		f.Txns++
+		if f.Outcomes[g.Product] == nil {
+			f.Outcomes[g.Product] = map[string]int{}
+		}
+		f.Outcomes[g.Product][g.Outcome]++
+		if took := g.Done.Sub(g.Sent); g.Outcome == "settled" {
+			times.RecordValue(max(took.Microseconds(), 1))
+		}
+		if g.Outcome == "silent" || g.Outcome == "broken" {
+			f.Lost++
+		} else if g.Done.Sub(g.Sent) > 2*time.Second+50*time.Millisecond {
+			f.Late++
+		}
+	}
+	f.P50, f.P99 = float64(times.ValueAtQuantile(50))/1000, float64(times.ValueAtQuantile(99))/1000
+	for _, s := range w.Stages {
+		f.Stages = append(f.Stages, fmt.Sprintf("%5.1f s  build %d stage %d %s, cap %.0f%%", max(s.At.Sub(began).Seconds(), 0),
+			s.Build, s.Stage, s.Mode, 100*s.Cap))
+	}
+	for what, n := range map[string]int{"txns lost": f.Lost, "effects twice": f.Broken.Twice,
+		"sends to a draining appliance": f.Broken.Drains, "cold appliances pushed over": f.Broken.Fallen,
+		"windows with too much exposure": f.Broken.Exposure} {
+		if n > 0 {
+			broken = append(broken, fmt.Sprintf("%s: %d", what, n))
+		}
+	}
+	if len(w.Stages) < 2 {
+		broken = append(broken, "no build was ever on trial")
+	}
+	if !d.Short && f.Late > 0 { // on a machine that stands still every answer is late
+		broken = append(broken, fmt.Sprintf("answers late: %d", f.Late))
+	}
+	if d.JSON {
+		return verdict(f, broken)
+	}
+	d.table(f, times)
+	if len(broken) > 0 {
+		fmt.Println("broken:", broken)
+		return errBroken
+	}
+	return nil
+}
+
+// progress shows the day go by, on a terminal.
+func progress(ctx context.Context, length time.Duration, w *tier.World) {
+	if !isatty.IsTerminal(os.Stderr.Fd()) {
+		return
+	}
+	bar := progressbar.Default(int64(length/time.Second), "the day")
+	for tick := time.NewTicker(time.Second); ctx.Err() == nil; <-tick.C {
+		s := w.At()
+		bar.Describe(fmt.Sprintf("build %d stage %d %s", s.Build, s.Stage, s.Mode))
+		bar.Add(1)
+	}
+	bar.Finish()
+}
+
+func (d day) table(f figures, times *hdrhistogram.Histogram) {
+	t := table.NewWriter()
+	t.SetOutputMirror(os.Stdout)
+	kinds := []string{"settled", "declined", "voided", "refused", "nobody", "broken", "silent"}
+	head := table.Row{"product"}
+	for _, k := range kinds {
+		head = append(head, k)
+	}
+	t.AppendHeader(head)
+	for _, p := range tier.Products {
+		row := table.Row{p.Name}
+		for _, k := range kinds {
+			row = append(row, f.Outcomes[p.Name][k])
+		}
+		t.AppendRow(row)
+	}
+	t.Render()
+	t = table.NewWriter()
+	t.SetOutputMirror(os.Stdout)
+	t.AppendHeader(table.Row{"latency", "ms"})
+	for _, q := range []float64{50, 90, 99, 99.9, 100} {
+		t.AppendRow(table.Row{fmt.Sprintf("p%g", q), fmt.Sprintf("%.1f", float64(times.ValueAtQuantile(q))/1000)})
+	}
+	t.Render()
+	for _, s := range f.Stages {
+		fmt.Println(s)
+	}
+	t = table.NewWriter()
+	t.SetOutputMirror(os.Stdout)
+	t.AppendHeader(table.Row{"rule", "broken, seen from outside"})
+	t.AppendRows([]table.Row{{"no txn lost", f.Lost}, {"no effect twice", f.Broken.Twice}, {"drains kept", f.Broken.Drains},
+		{"no cold appliance pushed over", f.Broken.Fallen}, {"exposure within the cap", f.Broken.Exposure}})
+	t.Render()
+}
--- /dev/null
+++ b/internal/assembly/assembly.go
@@ -0,0 +1,312 @@
+// Package assembly puts one agent together from its parts and takes it apart again. It owns the order in which they start
+// and end, and what an agent may go on without; it must never hold a decision, or a setting that no part has.
+//
+// They start so: the configuration and our settings are read and checked; the record takes its spool, without which an
+// agent that is to keep one does not start; the listener is opened; the module runs, with the list and the news that the
+// configuration holds; streams, writers and reports begin; the front says that it is ready. They end the other way round: the
+// front leaves once its txns are answered, then the record writes what it holds, and all else is dropped. An agent goes on
+// without discovery, the platform, the store of record, the metrics' listener and, by setting, the spool.
+package assembly
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/tidwall/gjson"
+
+	"onyxgate/internal/core"
+	"onyxgate/internal/httpwire"
+	"onyxgate/internal/metering"
+	"onyxgate/internal/must"
+	"onyxgate/internal/record/keeper"
+	"onyxgate/internal/settings"
+	"onyxgate/internal/setup"
+	"onyxgate/policy"
+)
+
+// Orders are what an agent is started with beside its configuration.
+type Orders struct {
+	Version                 string
+	File                    string // the configuration
+	Name, Listen, Discovery string // in place of the configuration's, where not empty
+	Tables                  settings.Tables
+	Every                   time.Duration // between two lines of counts
+}
+
+// Read reads a configuration and says all that is wrong with it.
+func Read(path string) (gjson.Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return gjson.Result{}, err
+	}
+	if !gjson.ValidBytes(text) {
+		return gjson.Result{}, fmt.Errorf("%s is not JSON", path)
+	}
+	config, wrong := gjson.ParseBytes(text), []error{}
+	for _, line := range setup.Wrong(config) {
+		wrong = append(wrong, errors.New(line))
+	}
+	if len(wrong) > 0 {
+		return config, fmt.Errorf("%s can't be used: %w", path, errors.Join(wrong...))
+	}
+	return config, nil
+}
+
+// Agent is one that is put together.
+type Agent struct {
+	orders    Orders
+	config    gjson.Result
+	listener  net.Listener
+	budget    *httpwire.Sockets
+	core      *core.Core
+	discovery *httpwire.Discovery
+	platform  *httpwire.Platform
+	upstream  *httpwire.Upstream
+	front     *httpwire.Front
+	keeper    *keeper.Keeper // nil: nothing is recorded
+	meter     *metering.Meter
+}
+
+// what the module wants beside its txns.
+func (a *Agent) Vote(build int, verdict policy.Verdict, stage int) {
+	a.platform.Vote(build, verdict, stage)
+}
+func (a *Agent) Probe(appliance string) { go a.upstream.Probe(appliance) }
+func (a *Agent) Subscribe()             { a.discovery.Ask(false) }
+func (a *Agent) FetchList()             { a.discovery.Ask(true) }
+
+func (a *Agent) told(given, name string) string {
+	if given == "" {
+		return a.config.Get(name).Str
+	}
+	return given
+}
+
+// New makes the parts; nothing runs yet but the listener's backlog.
+func New(o Orders) (*Agent, error) {
+	config, err := Read(o.File)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{orders: o, config: config}
+	s := config.Get("settings")
+	seed, _ := setup.Seed(config) // Read has seen that it is one
+	sockets, memoryMB := a.limits()
+	names, products := setup.Products(s)
+
+	a.core = core.New(a)
+	if o.Tables.Record.On() {
+		if a.keeper, err = keeper.New(o.Tables.Record, a.told(o.Name, "name"), names, a.core.Now, seed+2); err != nil {
+			return nil, err
+		}
+		a.core.Join(a.keeper)
+	}
+	if a.listener, err = net.Listen("tcp", a.told(o.Listen, "listen")); err != nil {
+		return nil, err
+	}
+	a.budget = httpwire.NewSockets(sockets)
+	dial := (&net.Dialer{KeepAlive: -1}).DialContext
+	tcp := func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+	zones, kinds := setup.Places(s)
+	a.discovery = httpwire.NewDiscovery(a.core, tcp, a.told(o.Discovery, "discovery"), zones, kinds, setup.Asked(s), seed)
+	a.platform = httpwire.NewPlatform(a.core, tcp, config.Get("pipeline.address").Str, setup.Called(s), seed+1)
+	up, idle := setup.Connecting(s)
+	onAnswers, onProbes := setup.Reported(s)
+	a.upstream = httpwire.NewUpstream(a.core, tcp, a.discovery.Address, a.budget, up, idle, onAnswers, onProbes)
+	a.discovery.Forgetting(a.upstream.Forget)
+	room := int64(1 << 30)
+	if memoryMB > 0 {
+		room = int64(memoryMB) << 20 / 4
+	}
+	a.front = httpwire.NewFront(a.core, a.upstream, a.budget, names, products, setup.Revokes(s), setup.Open(s), room)
+
+	logrus.WithFields(logrus.Fields{"version": o.Version, "name": a.told(o.Name, "name"),
+		"listen": a.listener.Addr().String(), "cpus": runtime.NumCPU(), "cores": runtime.GOMAXPROCS(0), "sockets": sockets,
+		"memory_mb": memoryMB, "agents": s.Get("balancers").Int(), "products": len(names),
+		"appliances": len(config.Get("known.servers").Array())}).Info("start")
+	a.core.Start(func(p policy.Port) *policy.Agent { return setup.Module(p, seed, s, a.budget.Clients()) })
+	if err := a.discovery.Take([]byte(config.Get("known").Raw), httpwire.Known, func() {}); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	news := config.Get("pipeline.news")
+	if err := a.platform.News(func(name string) string { return news.Get(name).String() }, policy.Unasked); err != nil {
+		return nil, fmt.Errorf("pipeline.news: %w", err)
+	}
+	return a, nil
+}
+
+// limits holds the program to what the configuration allows it.
+func (a *Agent) limits() (sockets, memoryMB int) {
+	sockets, memoryMB = setup.Limits(a.config)
+	if cores := setup.Cores(a.config); cores > 0 { // more threads at once than that only take turns on it
+		runtime.GOMAXPROCS(cores)
+	}
+	if memoryMB > 0 { // the rest is for stacks, the program itself and what the collector is late with
+		debug.SetMemoryLimit(int64(memoryMB) << 20 * 6 / 10)
+		// Little is live at some hundreds of txns a second, and the collector cheap; at more, peaks would pass for growth.
+		debug.SetGCPercent(150)
+	}
+	return sockets, memoryMB
+}
+
+// Run serves until it has left: SIGTERM and SIGINT tell it to, a second one to end at once, SIGHUP to read the
+// configuration anew.
+func (a *Agent) Run(signals <-chan os.Signal) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go a.discovery.Run(ctx)
+	go a.platform.Listen(ctx)
+	go a.platform.Cast(ctx)
+	go a.upstream.Sweep(ctx)
+	go a.report(ctx)
+	keeping, endKeeping := context.WithCancel(context.Background())
+	defer endKeeping()
+	kept := make(chan bool)
+	go func() {
+		if a.keeper != nil {
+			a.keeper.Run(keeping)
+		}
+		close(kept)
+	}()
+	if a.orders.Tables.Metrics.Listen != "" {
+		a.measure()
+		go a.meter.Serve(ctx, a.orders.Tables.Metrics)
+	}
+
+	server, failed := a.front.Server(), make(chan error, 1)
+	go func() { failed <- server.Serve(httpwire.Listener{Listener: a.listener, Sockets: a.budget}) }()
+	a.front.Ready()
+	logrus.Info("ready")
+	left := make(chan bool)
+	for ending := false; ; {
+		select {
+		case err := <-failed:
+			if !ending { // else the listener was closed in leaving
+				return err
+			}
+		case <-left:
+			endKeeping()
+			<-kept
+			a.line()
+			logrus.Info("left")
+			return nil
+		case sig := <-signals:
+			switch {
+			case sig == syscall.SIGHUP:
+				a.config = reload(a.orders.File, a.config, map[string]mover{"discovery": a.discovery,
+					"pipeline.address": a.platform})
+			case ending:
+				return errors.New("told twice to end")
+			default:
+				logrus.Info("leaving")
+				ending = true
+				go func() {
+					a.front.Leave(ctx, server)
+					close(left)
+				}()
+			}
+		}
+	}
+}
+
+// mover can be told another address.
+type mover interface{ Move(address string) }
+
+// reload reads the configuration anew. Only discovery's and the platform's addresses can change while it runs; what can't
+// be used changes nothing.
+func reload(file string, was gjson.Result, parts map[string]mover) gjson.Result {
+	now, err := Read(file)
+	if err != nil {
+		logrus.WithError(err).Error("configuration not taken, the running one stays")
+		return was
+	}
+	moves := logrus.Fields{}
+	for name, part := range parts {
+		// Against the file as it was: an address given in its place at the start holds until the file names another.
+		if address := now.Get(name).Str; address != was.Get(name).Str {
+			part.Move(address)
+			moves[name] = address
+		}
+	}
+	logrus.WithFields(moves).Info("configuration reread")
+	return now
+}
+
+// report logs the module's own lines and, every so often, a line of counts.
+func (a *Agent) report(ctx context.Context) {
+	tick := time.NewTicker(a.orders.Every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case line := <-a.core.Lines():
+			logrus.Info(line)
+		case <-tick.C:
+			a.line()
+		}
+	}
+}
+
+func (a *Agent) line() {
+	n := a.core.Counts()
+	opened, idle, unsent := a.upstream.Connections()
+	all, clients, resting := a.budget.Used()
+	version, listed := a.discovery.Version()
+	var usage syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	cpu := usage.Utime.Nano()/1e6 + usage.Stime.Nano()/1e6
+	logrus.WithFields(logrus.Fields{"cpu_ms": cpu, "taken": n.Taken, "settled": n.Settled, "declined": n.Declined,
+		"voided": n.Voided, "gone": n.Gone, "bad_input": a.front.Refused.Load(), "open": n.Open, "out": n.Out,
+		"ends":    fmt.Sprint(n.Ends[policy.Settled:]),
+		"sockets": all, "clients": clients, "clients_idle": resting, "opened": opened, "idle": idle, "unsent": unsent,
+		"list": version, "listed": listed, "timers": n.Timers, "broken": must.Broken()}).Info("counts")
+	if a.keeper != nil {
+		s := a.keeper.Standing()
+		logrus.WithFields(logrus.Fields{"spool": s.Health.String(), "entries": s.Entries, "notes": s.Notes, "gaps": s.Gaps,
+			"missed": s.Missed, "syncs": s.Syncs, "failures": s.Failures, "unsynced": s.Unsynced, "spool_bytes": s.Used,
+			"queued_bytes": s.Queued, "shipped": s.Shipped, "in_doubt": s.InDoubt, "oldest_ms": int(s.Oldest),
+			"replies": fmt.Sprint(s.Replies)}).Info("record")
+	}
+}
+
+// measure names what can be scraped.
+func (a *Agent) measure() {
+	a.meter = metering.New()
+	count := func(name string, of func(core.Counts) int) {
+		a.meter.Gauge(name, func() float64 { return float64(of(a.core.Counts())) })
+	}
+	count("onyxgate_txns_taken_total", func(n core.Counts) int { return n.Taken })
+	count(`onyxgate_txns_ended_total{outcome="settled"}`, func(n core.Counts) int { return n.Settled })
+	count(`onyxgate_txns_ended_total{outcome="declined"}`, func(n core.Counts) int { return n.Declined })
+	count(`onyxgate_txns_ended_total{outcome="voided"}`, func(n core.Counts) int { return n.Voided })
+	count(`onyxgate_txns_ended_total{outcome="gone"}`, func(n core.Counts) int { return n.Gone })
+	count("onyxgate_txns_open", func(n core.Counts) int { return n.Open })
+	count("onyxgate_submissions_out", func(n core.Counts) int { return n.Out })
+	a.meter.Gauge("onyxgate_broken_total", func() float64 { return float64(must.Broken()) })
+	if a.keeper == nil {
+		return
+	}
+	standing := func(name string, of func(keeper.Standing) float64) {
+		a.meter.Gauge(name, func() float64 { return of(a.keeper.Standing()) })
+	}
+	standing("onyxgate_record_entries_total", func(s keeper.Standing) float64 { return float64(s.Entries) })
+	standing("onyxgate_record_syncs_total", func(s keeper.Standing) float64 { return float64(s.Syncs) })
+	standing("onyxgate_record_failures_total", func(s keeper.Standing) float64 { return float64(s.Failures) })
+	standing("onyxgate_record_unsynced_total", func(s keeper.Standing) float64 { return float64(s.Unsynced) })
+	standing("onyxgate_record_missed_total", func(s keeper.Standing) float64 { return float64(s.Missed) })
+	standing("onyxgate_record_gaps_total", func(s keeper.Standing) float64 { return float64(s.Gaps) })
+	standing("onyxgate_record_shipped_total", func(s keeper.Standing) float64 { return float64(s.Shipped) })
+	standing("onyxgate_record_in_doubt_total", func(s keeper.Standing) float64 { return float64(s.InDoubt) })
+	standing("onyxgate_record_spool_bytes", func(s keeper.Standing) float64 { return float64(s.Used) })
+	standing("onyxgate_record_queued_bytes", func(s keeper.Standing) float64 { return float64(s.Queued) })
+	standing("onyxgate_record_oldest_unshipped_seconds", func(s keeper.Standing) float64 { return s.Oldest / 1000 })
+}
--- a/cmd/onyxgate/main_test.go
+++ b/internal/assembly/assembly_test.go
@@ -1,4 +1,4 @@
-package main
+package assembly
 
 import (
 	"fmt"
@@ -23,8 +23,8 @@
 	if err := os.WriteFile(file, []byte(text("d:1", "p:1")), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s := serve{Configuration: file, Discovery: "env:1"}
-	config, err := read(file)
+
+	config, err := Read(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -43,7 +43,7 @@
 		if c.text == "" {
 			os.Remove(file)
 		}
-		config = s.reload(config, map[string]mover{"discovery": discovery, "pipeline.address": platform})
+		config = reload(file, config, map[string]mover{"discovery": discovery, "pipeline.address": platform})
 		if fmt.Sprint(discovery.to) != c.discovery || fmt.Sprint(platform.to) != c.platform {
 			t.Errorf("after %.80q: %v, %v", c.text, discovery.to, platform.to)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,6 +44,8 @@
 	lines   chan string
 	leaving bool
 	counts  Counts
+	parts   []Part         // never changed once txns come
+	builds  map[string]int // appliances' builds as listed, kept only for the parts
 }
 
 // Counts are what has been since the start, and what is open now.
@@ -110,6 +112,7 @@
 
 // List, ListFailed, News and Probed pass on what was told.
 func (c *Core) List(entries []policy.Listed, whole, old bool) {
+	c.carries(entries, whole)
 	c.enter("list", func(now float64) { c.agent.List(now, entries, whole, old) })
 }
 
@@ -196,31 +199,49 @@
 	Sub    *Submission
 	Wait   float64
 	Answer any
+	Reason string // one word: why the txn ended so
 }
 
 // Txn is one txn from its arrival to its last submission's end.
 type Txn struct {
-	ID     string
-	Expiry float64
-	core   *Core
-	start  func(*Submission)
-	under  *Submission // that its handler carries out
-	bell   chan struct{}
-	mail   []Action
-	subs   []*Submission
-	out    int
-	over   bool // answered, or the client has gone
+	ID       string
+	Mark     string // against repeats, where the product has one
+	Product  int
+	Came     float64
+	Expiry   float64
+	core     *Core
+	kept     []any   // what each part keeps of it
+	reserved float64 // ms of the client's time, for the parts
+	said     bool    // its parts know that it is answered
+	by       *Submission
+	last     policy.Result // of the submission that ended last
+	start    func(*Submission)
+	under    *Submission // that its handler carries out
+	bell     chan struct{}
+	mail     []Action
+	subs     []*Submission
+	out      int
+	over     bool // answered, or the client has gone
 }
 
 // Take hands a new txn to the module; left runs from the time at which it came. A submission that is wanted while the
-// handler carries out another goes to start, in a goroutine of its own. Nil: that id is held already.
-func (c *Core) Take(came float64, id, key string, product int, again bool, left float64,
+// handler carries out another goes to start, in a goroutine of its own. A front that has no room for a txn says so by a
+// word, full: it is then declined like any other, without the module. Nil: that id is held already.
+func (c *Core) Take(came float64, id, key, mark string, product int, again bool, left float64, full string,
 	start func(*Submission)) (t *Txn) {
+	t = &Txn{ID: id, Mark: mark, Product: product, Came: came, Expiry: came + left, core: c, start: start}
+	if full == "" {
+		full = t.ask(left)
+	}
+	if full != "" {
+		t.turnAway(full)
+		return t
+	}
 	c.enter("txn", func(now float64) {
 		if c.txns[id] != nil {
+			t = nil
 			return
 		}
-		t = &Txn{ID: id, Expiry: came + left, core: c, start: start}
 		c.txns[id] = t
 		c.counts.Taken++
 		heap.Push(&c.timers, timer{at: t.Expiry + guardLate, txn: t})
@@ -241,6 +262,7 @@
 			t.mail = t.mail[1:]
 			t.under = a.Sub
 			t.core.mu.Unlock()
+			t.join(&a)
 			return a
 		}
 		if t.bell == nil {
@@ -269,6 +291,7 @@
 func (t *Txn) finish(a Action, count *int) {
 	if !t.over {
 		t.over = true
+		a.Reason = t.reason(a)
 		*count++
 		t.post(a)
 		t.forget()
@@ -289,7 +312,7 @@
 			t.core.agent.Wake(now, 0)
 		}
 		if !must.Hold(t.over, "every txn is answered in time", t.ID) {
-			t.finish(Action{Do: Void}, &t.core.counts.Voided)
+			t.finish(Action{Do: Void, Reason: "guard"}, &t.core.counts.Voided)
 			t.core.agent.Hangup(now, t.ID)
 		}
 	})
@@ -317,6 +340,9 @@
 	over, mail := t.over, t.mail
 	t.mail = nil
 	t.core.mu.Unlock()
+	if !t.said {
+		t.gone()
+	}
 	if !over {
 		t.Hangup()
 	}
@@ -333,6 +359,7 @@
 // Submission is one try at an appliance.
 type Submission struct {
 	Appliance string
+	Build     int // as listed when it went out; 0 where no part asks
 	Until     float64
 	txn       *Txn
 	n         int
@@ -379,7 +406,13 @@
 		t.out--
 		c.counts.Out--
 		c.counts.Ends[r]++
+		if !t.over {
+			t.last = r
+		}
 		if r == policy.Settled {
+			if !t.over {
+				t.by = s
+			}
 			t.finish(Action{Do: Settle, Answer: answer}, &c.counts.Settled)
 		}
 		c.agent.Outcome(now, t.ID, s.n, r, t.over, now-s.at, waiting, busy)
@@ -402,7 +435,7 @@
 		must.Hold(false, "a submission belongs to a txn that is held", id)
 		return
 	}
-	s := &Submission{Appliance: appliance, Until: t.Expiry, txn: t, n: len(t.subs), at: now}
+	s := &Submission{Appliance: appliance, Build: p.builds[appliance], Until: t.Expiry, txn: t, n: len(t.subs), at: now}
 	if limit > 0 && now+limit < s.Until {
 		s.Until = now + limit
 		heap.Push(&p.timers, timer{at: s.Until, sub: s})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -64,8 +64,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				core, _ := hosted(policy.Product{Effect: c.effect}, c.appliances)
 				from := time.Now()
-				x := core.Take(core.Now(), "t", "", 0, false, 2000, nil)
-				if core.Take(core.Now(), "t", "", 0, false, 2000, nil) != nil {
+				x := core.Take(core.Now(), "t", "", "", 0, false, 2000, "", nil)
+				if core.Take(core.Now(), "t", "", "", 0, false, 2000, "", nil) != nil {
 					t.Error("an id was taken twice")
 				}
 				var left *Submission
@@ -118,12 +118,12 @@
 func TestMail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core, does := hosted(policy.Product{}, 2)
-		core.Take(core.Now(), "a", "", 0, false, 2000, nil).Close()
+		core.Take(core.Now(), "a", "", "", 0, false, 2000, "", nil).Close()
 		if n := core.Counts(); n.Ends[policy.Moot] != 1 || n.Open != 0 || n.Gone != 1 {
 			t.Errorf("unread: %+v", n)
 		}
 		started := make(chan *Submission, 1)
-		x := core.Take(core.Now(), "b", "", 0, false, 2000, func(s *Submission) { started <- s })
+		x := core.Take(core.Now(), "b", "", "", 0, false, 2000, "", func(s *Submission) { started <- s })
 		first := x.Next().Sub
 		core.mu.Lock()
 		core.inside = true
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -16,7 +16,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		core, _ := hosted(policy.Product{}, 1)
 		from, was := time.Now(), must.Broken()
-		x := core.Take(core.Now(), "t", "", 9, false, 300, nil) // a product that the module does not have
+		x := core.Take(core.Now(), "t", "", "", 9, false, 300, "", nil) // a product that the module does not have
 		if a := x.Next(); a.Do != Void {
 			t.Errorf("got %v", a.Do)
 		}
@@ -24,7 +24,7 @@
 			t.Errorf("after %v, %d breaches", took, must.Broken()-was)
 		}
 		x.Close()
-		y := core.Take(core.Now(), "u", "", 0, false, 300, nil)
+		y := core.Take(core.Now(), "u", "", "", 0, false, 300, "", nil)
 		y.Next().Sub.End(policy.Settled, nil, -1, -1)
 		if a := y.Next(); a.Do != Settle {
 			t.Errorf("the next txn got %v", a.Do)
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -205,10 +205,10 @@
 		limits.SetReadDeadline(time.Time{})
 	}
 	defer f.bodies.Add(-int64(len(body)))
+	full := ""
 	if f.bodies.Add(int64(len(body))) > f.room || f.open > 0 && f.active.Load() > int64(f.open) {
 		logrus.Warn("no room for a txn's body")
-		decline(w, 0)
-		return
+		full = "room"
 	}
 
 	if at := f.killAt.Load(); at != 0 { // what the kill finds without an answer is lost
@@ -216,7 +216,7 @@
 	}
 	first := head(r, len(body))
 	submit := func(s *core.Submission) { f.up.Submit(s, first, body) }
-	t := f.core.Take(came, id, key, product, r.Header.Get("Req-Retry") == "1", left, submit)
+	t := f.core.Take(came, id, key, mark, product, r.Header.Get("Req-Retry") == "1", left, full, submit)
 	if t == nil {
 		f.refuse(w, http.StatusBadRequest, "this id is held already")
 		return
@@ -229,7 +229,8 @@
 				under.End(policy.Broken, nil, -1, -1)
 			}
 			if !answered {
-				void(w)
+				t.Fail()
+				t.Answered(void(w, t))
 			}
 		}
 		t.Close()
@@ -247,15 +248,15 @@
 			}
 		case core.Settle:
 			answered = true
-			settle(w, a.Answer.(answer))
+			t.Answered(settle(w, t, a.Answer.(answer)))
 			return
 		case core.Decline:
 			answered = true
-			decline(w, a.Wait)
+			t.Answered(decline(w, t, a.Wait))
 			return
 		case core.Void:
 			answered = true
-			void(w)
+			t.Answered(void(w, t))
 			return
 		case core.Leave:
 			return
@@ -263,7 +264,9 @@
 	}
 }
 
-func settle(w http.ResponseWriter, a answer) {
+// settle, decline and void write the one answer. Where a part follows the txn they write it to its last byte and tell
+// whether that went: what the server holds back until the handler has returned is not answered yet.
+func settle(w http.ResponseWriter, t *core.Txn, a answer) bool {
 	if a.kind == "" {
 		a.kind = "application/octet-stream"
 	}
@@ -272,17 +275,35 @@
 	}
 	w.Header().Set("Content-Type", a.kind)
 	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	w.Write(a.body)
+	_, err := w.Write(a.body)
+	return err == nil && out(w, t)
 }
 
-func decline(w http.ResponseWriter, wait float64) {
+func decline(w http.ResponseWriter, t *core.Txn, wait float64) bool {
 	if wait > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait/1000, 'f', 3, 64))
 	}
-	http.Error(w, "declined: trying again is harmless", http.StatusServiceUnavailable)
+	return say(w, t, http.StatusServiceUnavailable, "declined: trying again is harmless")
+}
+
+func void(w http.ResponseWriter, t *core.Txn) bool { return say(w, t, http.StatusBadGateway, "voided") }
+
+func say(w http.ResponseWriter, t *core.Txn, status int, why string) bool {
+	if !t.Followed() {
+		http.Error(w, why, status)
+		return true
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(why)))
+	w.WriteHeader(status)
+	_, err := io.WriteString(w, why)
+	return err == nil && out(w, t)
 }
 
-func void(w http.ResponseWriter) { http.Error(w, "voided", http.StatusBadGateway) }
+// out sends what the server still holds.
+func out(w http.ResponseWriter, t *core.Txn) bool {
+	return !t.Followed() || http.NewResponseController(w).Flush() == nil
+}
 
 // refuse ends a connection with an error: nothing more is read on it, neither a body that may never come nor what
 // stands behind it.
--- a/internal/httpwire/upstream.go
+++ b/internal/httpwire/upstream.go
@@ -393,6 +393,9 @@
 	body []byte
 }
 
+// Bytes is what the client gets of it.
+func (a answer) Bytes() []byte { return a.body }
+
 // Submit carries out one submission of a txn and tells its end.
 func (u *Upstream) Submit(s *core.Submission, head, body []byte) {
 	result, r := u.submit(s, head, body)
--- /dev/null
+++ b/internal/record/keeper/keeper.go
@@ -0,0 +1,268 @@
+// Package keeper is the part of an agent that keeps the record: it joins the path of each txn, runs the ledger's writer
+// and ships to the store in the background. It must never choose what the ledger or the shipper chooses, nor let a txn
+// wait for the store.
+package keeper
+
+// This file owns the txns' side and the writer.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"onyxgate/internal/core"
+	"onyxgate/internal/points"
+	"onyxgate/internal/record"
+	"onyxgate/internal/record/spool"
+)
+
+// Keeper keeps one agent's record.
+type Keeper struct {
+	table    Table
+	now      func() float64
+	products []string
+	spool    *spool.Spool
+	writer   *spool.Writer
+	digests  bool
+
+	mu        sync.Mutex
+	ledger    *record.Ledger
+	confirmed chan struct{} // closed and made anew with each confirmation or failure
+	bell      chan struct{}
+	health    record.Health
+	unsynced  uint64 // answers that went before they were durable
+	gone      uint64
+
+	ship *shipping
+}
+
+// New takes the spool and begins an incarnation; now is the agent's clock in ms.
+func New(t Table, agent string, products []string, now func() float64, seed uint64) (*Keeper, error) {
+	if agent == "" {
+		return nil, errors.New("record: an agent without a name can't keep one: entries would be nobody's")
+	}
+	var fs spool.FS = spool.Disk{}
+	root := t.Directory
+	if t.Mode == "memory" {
+		fs, root = spool.NewMemory(), "memory"
+	}
+	k := &Keeper{table: t, now: now, products: products, confirmed: make(chan struct{}), bell: make(chan struct{}, 1)}
+	var err error
+	if k.spool, err = spool.Open(fs, root, agent); err != nil {
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	used := k.spool.Used()
+	if k.writer, err = k.spool.Begin(); err != nil {
+		k.spool.Close()
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	k.ledger = record.NewLedger(agent, k.writer.Incarnation, t.Mode == "spool" && t.Sync == "group", t.Group.Ms(),
+		int(t.GroupBytes), int64(t.Segment), int64(t.Budget), int(t.Room), t.Patience.Ms(), t.Stall.Ms(), t.full(), used)
+	if k.ship, err = newShipping(k, seed); err != nil {
+		k.spool.Close()
+		return nil, fmt.Errorf("record: %w", err)
+	}
+	logrus.WithFields(logrus.Fields{"incarnation": k.writer.Incarnation, "mode": t.Mode, "store": t.Store.Kind,
+		"spool_bytes": used, "earlier": len(k.spool.Incarnations()) - 1}).Info("record")
+	return k, nil
+}
+
+// Enter declines while the spool takes nothing, where that is what the settings say.
+func (k *Keeper) Enter(now float64) (reserve float64, why string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ledger.Refuses(now) {
+		return 0, "unrecorded"
+	}
+	return k.table.Reserve.Ms(), ""
+}
+
+var outcomes = map[core.Do]record.Outcome{core.Settle: record.Settled, core.Decline: record.Declined,
+	core.Void: record.Voided}
+
+// Answering holds an answer until its entry is durable, or until that is no longer to be expected in time.
+func (k *Keeper) Answering(e core.Ending, until float64) any {
+	product := ""
+	if e.Product >= 0 && e.Product < len(k.products) {
+		product = k.products[e.Product]
+	}
+	entry := record.Entry{Txn: e.Txn, Product: product, Outcome: outcomes[e.Do], Reason: e.Reason, Build: e.Build,
+		Appliance: e.Appliance, Submissions: e.Submissions, Taken: e.Taken, Answered: e.Now,
+		Body: record.Digested(e.Body), Mark: record.Digested([]byte(e.Mark))}
+	k.mu.Lock()
+	n, ok := k.ledger.Answer(e.Now, entry)
+	patience := min(k.ledger.Patience(e.Now), until-e.Now)
+	wait := k.confirmed
+	k.mu.Unlock()
+	k.ring()
+	if !ok {
+		return nil
+	}
+	points.At("record.queued")
+	if points.Defect("answer-before-sync") {
+		return n
+	}
+	if patience > 0 {
+		timer := time.NewTimer(time.Duration(patience * 1e6))
+		defer timer.Stop()
+		for {
+			late := false
+			select {
+			case <-wait:
+			case <-timer.C:
+				late = true
+			}
+			k.mu.Lock()
+			durable, able := k.ledger.Confirmed() >= n, k.ledger.Patience(k.now()) > 0
+			wait = k.confirmed
+			if !durable && (late || !able) {
+				k.unsynced++
+				k.mu.Unlock()
+				return n
+			}
+			k.mu.Unlock()
+			if durable {
+				points.At("record.durable")
+				return n
+			}
+		}
+	}
+	k.mu.Lock()
+	if k.table.Mode == "spool" && k.table.Sync == "group" {
+		k.unsynced++
+	}
+	k.mu.Unlock()
+	return n
+}
+
+// Answered notes the end of an answer.
+func (k *Keeper) Answered(kept any, now float64, whole bool) {
+	n, ok := kept.(uint64)
+	if !ok { // it stands for itself in a gap
+		return
+	}
+	points.At("record.answered")
+	k.mu.Lock()
+	k.ledger.Done(now, n, whole)
+	k.mu.Unlock()
+	k.ring()
+}
+
+// Gone counts a txn that ended without an answer.
+func (k *Keeper) Gone(float64) {
+	k.mu.Lock()
+	k.gone++
+	k.mu.Unlock()
+}
+
+func (k *Keeper) ring() {
+	select {
+	case k.bell <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes and ships until ctx ends, then writes what is left; no txn may follow.
+func (k *Keeper) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	all.Go(func() { k.ship.run(ctx) })
+	k.write(ctx)
+	all.Wait()
+	if k.ship.store != nil {
+		if k.table.Mode == "memory" { // what does not go now is lost
+			ctx, cancel := context.WithTimeout(context.Background(), lastWait)
+			k.ship.drain(ctx)
+			cancel()
+		}
+		k.ship.store.Close()
+	}
+	k.writer.Close()
+	k.spool.Close()
+}
+
+// lastWait bounds the writing of what is left at the end.
+const lastWait = 500 * time.Millisecond
+
+func (k *Keeper) write(ctx context.Context) {
+	done := ctx.Done()
+	var last time.Time
+	for {
+		k.mu.Lock()
+		now := k.now()
+		w := k.ledger.Work(now)
+		pending := k.ledger.Pending()
+		k.mu.Unlock()
+		if !w.Idle() {
+			if points.Defect("answer-before-sync") {
+				time.Sleep(40 * time.Millisecond) // what a slow disk would take
+			}
+			wrote, err := k.writer.Do(w)
+			k.mu.Lock()
+			k.ledger.Did(k.now(), wrote, err == nil)
+			health := k.ledger.Health(k.now())
+			close(k.confirmed)
+			k.confirmed = make(chan struct{})
+			changed := health != k.health
+			k.health = health
+			k.mu.Unlock()
+			if changed {
+				k.tell(health, err)
+			}
+			continue
+		}
+		if !last.IsZero() && (!pending || time.Since(last) > lastWait) {
+			return
+		}
+		timer := time.NewTimer(time.Duration(max(w.Wait, 0.2) * 1e6))
+		select {
+		case <-k.bell:
+			if !timer.Stop() {
+				<-timer.C
+			}
+			if pending {
+				k.linger()
+			}
+		case <-timer.C:
+		case <-done:
+			done, last = nil, time.Now()
+		}
+	}
+}
+
+// linger lets notes gather that come one by one: they are written 2 ms after the first, or with the next entry.
+func (k *Keeper) linger() { time.Sleep(50 * time.Microsecond) }
+
+func (k *Keeper) tell(health record.Health, err error) {
+	line := logrus.WithFields(logrus.Fields{"spool": health.String(), "when_full": k.table.WhenFull}).WithError(err)
+	if health == record.Good {
+		line.Info("record is written again")
+	} else {
+		line.Error("record can't be written")
+	}
+}
+
+// Standing is how the record stands.
+type Standing struct {
+	record.Counts
+	Health           record.Health
+	Used             int64
+	Queued           int
+	Unsynced, Gone   uint64
+	Shipped, InDoubt uint64
+	Replies          [7]uint64
+	Oldest           float64 // ms since the oldest unshipped entry was answered; 0: none
+}
+
+// Standing tells it.
+func (k *Keeper) Standing() Standing {
+	k.mu.Lock()
+	s := Standing{Counts: k.ledger.Counts(), Health: k.ledger.Health(k.now()), Used: k.ledger.Used(),
+		Queued: k.ledger.Queued(), Unsynced: k.unsynced, Gone: k.gone}
+	k.mu.Unlock()
+	k.ship.standing(&s)
+	return s
+}
--- /dev/null
+++ b/internal/record/ship.go
@@ -0,0 +1,109 @@
+package record
+
+// This file owns when a batch goes to the store, how large it is, and what a failed one means. It must never take a batch
+// as stored that the store has not confirmed, nor drop one.
+
+import "math/rand/v2"
+
+// Reply is how a batch ended.
+type Reply uint8
+
+const (
+	Stored   Reply = iota
+	Lost           // the connection broke or the time ran out: it may be stored
+	Conflict       // the store chose another transaction: again
+	Busy           // it takes no more now
+	Away           // it can't be reached, or says that it goes
+	Denied         // it refuses us: somebody has to act
+	Foreign        // another place ships this incarnation: never again
+)
+
+// Replies are their names, by number.
+var Replies = [...]string{"stored", "lost", "conflict", "busy", "away", "denied", "foreign"}
+
+func (r Reply) String() string { return Replies[min(int(r), len(Replies)-1)] }
+
+// what a reply means: the first pause (ms), and whether the next batch is to be smaller.
+var meanings = [...]struct {
+	pause float64
+	less  bool
+}{Stored: {}, Lost: {100, true}, Conflict: {5, true}, Busy: {100, true}, Away: {100, false}, Denied: {5000, false},
+	Foreign: {60000, false}}
+
+const (
+	pauseMost = 5000.0 // ms
+	// breakAfter failures in a row the store counts as away: one row at a time asks whether it is back, so that a store that
+	// comes up under a backlog is not pushed down again.
+	breakAfter = 4
+	// liveTurns of a full round are the running incarnation's, so that what is caught up with never keeps it waiting.
+	liveTurns, allTurns = 3, 4
+)
+
+// Shipper paces one agent's batches to the store.
+type Shipper struct {
+	most     int
+	every    float64
+	chance   *rand.Rand
+	size     int
+	failures int
+	again    float64
+	firstAt  float64 // when the oldest row that waits was seen; 0: none waits
+	turn     int
+	Replies  [len(Replies)]uint64
+}
+
+// NewShipper makes one for batches of at most `most` rows, at least every `every` ms where rows wait.
+func NewShipper(most int, every float64, chance *rand.Rand) *Shipper {
+	return &Shipper{most: most, every: every, chance: chance, size: min(most, 64)}
+}
+
+// Next says how many rows may go now, 0: none before wait (ms) is over. waiting is how many are ready.
+func (s *Shipper) Next(now float64, waiting int) (rows int, wait float64) {
+	if waiting == 0 {
+		s.firstAt = 0
+		return 0, s.every
+	}
+	if s.firstAt == 0 {
+		s.firstAt = max(now, 1)
+	}
+	rows = s.size
+	if s.Broken() {
+		rows = 1
+	}
+	switch {
+	case now < s.again:
+		return 0, s.again - now
+	case waiting < rows && now-s.firstAt < s.every: // more may come
+		return 0, s.every - (now - s.firstAt)
+	}
+	return min(rows, waiting), 0
+}
+
+// Result tells how a batch ended.
+func (s *Shipper) Result(now float64, r Reply) {
+	s.Replies[r]++
+	if r == Stored {
+		s.failures, s.again, s.firstAt = 0, 0, 0
+		s.size = min(s.size*2, s.most)
+		return
+	}
+	m := meanings[r]
+	if m.less {
+		s.size = max(s.size/2, 1)
+	}
+	pause := max(min(m.pause*float64(uint64(1)<<min(s.failures, 10)), pauseMost), m.pause)
+	s.again = now + pause*(0.5+s.chance.Float64())
+	s.failures++
+}
+
+// Broken tells that the store counts as away.
+func (s *Shipper) Broken() bool { return s.failures >= breakAfter }
+
+// Live tells whether it is the running incarnation's turn, or that of what is left of earlier ones.
+func (s *Shipper) Live(live, old bool) bool {
+	if live && old {
+		s.turn = (s.turn + 1) % allTurns
+		return s.turn < liveTurns
+	}
+	return live
+}
--- /dev/null
+++ b/internal/record/sqlite/sqlite.go
@@ -0,0 +1,53 @@
+// Package sqlite opens the embedded store: one file in WAL mode, shared by the agents of a machine. It decides nothing.
+package sqlite
+
+import (
+	"database/sql"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"modernc.org/sqlite"
+
+	"onyxgate/internal/record"
+	"onyxgate/internal/record/sqlstore"
+)
+
+// Open opens or makes a store; a writer waits for others up to busy. Nothing is read before the first use.
+func Open(path string, busy time.Duration) (*sqlstore.Store, error) {
+	q := url.Values{"_pragma": {"journal_mode(WAL)", "synchronous(FULL)", "wal_autocheckpoint(0)", "cache_size(-1024)",
+		"journal_size_limit(16777216)", fmt.Sprintf("busy_timeout(%d)", busy.Milliseconds())}, "_txlock": {"immediate"}}
+	db, err := sql.Open("sqlite", "file:"+(&url.URL{Path: path}).EscapedPath()+"?"+q.Encode())
+	if err != nil {
+		return nil, err
+	}
+	db.SetMaxOpenConns(2) // each has a cache of its own
+	db.SetMaxIdleConns(1)
+	return sqlstore.New(db, sqlstore.Dialect{Name: "sqlite", Rows: "json_each($1) v",
+		Field: func(name, kind string) string { return "json_extract(v.value, '$." + name + "')" },
+		Big:   "integer", Real: "real", Reply: reply, Checkpoint: "pragma wal_checkpoint(truncate)"}), nil
+}
+
+// Primary result codes, as published.
+const (
+	codeError                                                                                             = 1
+	codeBusy, codeLocked, codeReadOnly, codeIO, codeCorrupt, codeFull, codeCantOpen, codeAuth, codeNotADB = 5, 6, 8, 10, 11,
+		13, 14, 23, 26
+)
+
+func reply(err error) record.Reply {
+	var e *sqlite.Error
+	if !errors.As(err, &e) {
+		return record.Lost
+	}
+	switch e.Code() & 0xff {
+	case codeBusy, codeLocked:
+		return record.Busy
+	case codeReadOnly, codeAuth, codeNotADB, codeCorrupt, codeError:
+		return record.Denied
+	case codeFull, codeIO, codeCantOpen:
+		return record.Away
+	}
+	return record.Lost
+}
--- /dev/null
+++ b/internal/record/sqlstore/sqlstore.go
@@ -0,0 +1,443 @@
+// Package sqlstore keeps the ledger in an SQL database: schema, batches, selections, in one text for all stores that know
+// JSON. It must never decide when a batch goes or what a failure means for the next one.
+package sqlstore
+
+import (
+	"context"
+	"database/sql"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"onyxgate/internal/points"
+	"onyxgate/internal/record"
+)
+
+// Dialect is what differs between stores.
+type Dialect struct {
+	Name string
+	// Rows names the set of elements of the JSON array $1 as v; Field reads one of its fields as a type.
+	Rows  string
+	Field func(name, kind string) string
+	// Big, Real are the types of whole numbers and times.
+	Big, Real string
+	// Reply says what an error means.
+	Reply func(error) record.Reply
+	// Checkpoint is run now and then; empty: nothing is.
+	Checkpoint string
+}
+
+// Store is one.
+type Store struct {
+	db *sql.DB
+	d  Dialect
+}
+
+// New makes a store on an open database.
+func New(db *sql.DB, d Dialect) *Store { return &Store{db, d} }
+
+// Each statement begins with its name, by which operators find it in their store's own views.
+const (
+	NameVersion = "/* onyxgate version */ "
+	NameMigrate = "/* onyxgate migrate */ "
+	NameClaim   = "/* onyxgate claim */ "
+	NameOwner   = "/* onyxgate owner */ "
+	NamePut     = "/* onyxgate put */ "
+	NameGaps    = "/* onyxgate gaps */ "
+	NameThrough = "/* onyxgate through */ "
+	NameSelect  = "/* onyxgate select */ "
+	NameMissed  = "/* onyxgate missed */ "
+	NameCount   = "/* onyxgate count */ "
+	NamePrune   = "/* onyxgate prune */ "
+)
+
+// migrations are numbered from 1 and never changed once they have run anywhere.
+func (s *Store) migrations() [][]string {
+	big, real := s.d.Big, s.d.Real
+	key := `primary key (incarnation, n)`
+	if points.Defect("no-dedupe") {
+		key = `check (n > 0)`
+	}
+	return [][]string{
+		{
+			`create table onyxgate_incarnation (incarnation text primary key, agent text not null, place text not null,
+				through ` + big + ` not null, closed integer not null)`,
+			`create table onyxgate_entry (incarnation text not null, n ` + big + ` not null, agent text not null,
+				state text not null, txn text not null, product text not null, outcome text not null, reason text not null,
+				build integer not null, appliance text not null, submissions integer not null, taken_ms ` + real + ` not null,
+				answered_ms ` + real + ` not null, body text not null, mark text not null, ` + key + `)`,
+			`create index onyxgate_entry_answered on onyxgate_entry (answered_ms)`,
+			`create table onyxgate_gap (incarnation text not null, n ` + big + ` not null, agent text not null,
+				settled ` + big + ` not null, declined ` + big + ` not null, voided ` + big + ` not null,
+				unknown ` + big + ` not null, from_ms ` + real + ` not null, to_ms ` + real + ` not null,
+				cause text not null, primary key (incarnation, n))`,
+		},
+		{
+			`create index onyxgate_entry_txn on onyxgate_entry (txn)`,
+		},
+	}
+}
+
+const versions = `create table if not exists onyxgate_schema (version integer primary key, applied_ms bigint not null)`
+
+// Migrate brings the schema up to date, each step in a transaction of its own. A schema newer than the program is an error.
+func (s *Store) Migrate(ctx context.Context) error {
+	if _, err := s.db.ExecContext(ctx, NameMigrate+versions); err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	steps := s.migrations()
+	for i := range steps {
+		if err := s.step(ctx, i+1, steps[i], len(steps)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) step(ctx context.Context, version int, statements []string, newest int) error {
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return err
+	}
+	defer tx.Rollback()
+	var has int
+	if err := tx.QueryRowContext(ctx, NameVersion+"select coalesce(max(version), 0) from onyxgate_schema").Scan(&has); err != nil {
+		return err
+	}
+	switch {
+	case has > newest:
+		return fmt.Errorf("the store's schema is version %d, this program knows %d: use a newer program", has, newest)
+	case has >= version:
+		return nil
+	}
+	// First, so that of two that migrate at once one waits for the other and then finds its own number taken.
+	if _, err := tx.ExecContext(ctx, NameMigrate+"insert into onyxgate_schema (version, applied_ms) values ($1, $2)",
+		version, time.Now().UnixMilli()); err != nil {
+		return fmt.Errorf("schema version %d: %w", version, err)
+	}
+	for _, statement := range statements {
+		if _, err := tx.ExecContext(ctx, NameMigrate+statement); err != nil {
+			return fmt.Errorf("schema version %d: %w", version, err)
+		}
+	}
+	return tx.Commit()
+}
+
+// Row is a row of the store: an entry with what it belongs to, or a gap.
+type Row struct {
+	Agent       string  `json:"agent"`
+	Incarnation string  `json:"incarnation"`
+	N           uint64  `json:"n"`
+	State       string  `json:"state"`
+	Txn         string  `json:"txn"`
+	Product     string  `json:"product"`
+	Outcome     string  `json:"outcome"`
+	Reason      string  `json:"reason"`
+	Build       int     `json:"build"`
+	Appliance   string  `json:"appliance"`
+	Submissions int     `json:"submissions"`
+	Taken       float64 `json:"taken_ms"`
+	Answered    float64 `json:"answered_ms"`
+	Body        string  `json:"body"`
+	Mark        string  `json:"mark"`
+}
+
+// GapRow is a gap as the store has it.
+type GapRow struct {
+	Agent       string  `json:"agent"`
+	Incarnation string  `json:"incarnation"`
+	N           uint64  `json:"n"`
+	Settled     uint64  `json:"settled"`
+	Declined    uint64  `json:"declined"`
+	Voided      uint64  `json:"voided"`
+	Unknown     uint64  `json:"unknown"`
+	From        float64 `json:"from_ms"`
+	To          float64 `json:"to_ms"`
+	Cause       string  `json:"cause"`
+}
+
+func digest(d record.Digest) string {
+	if d == (record.Digest{}) {
+		return ""
+	}
+	return hex.EncodeToString(d[:])
+}
+
+// Batch is what is stored at once.
+type Batch struct {
+	Agent, Incarnation, Place string
+	Rows                      []record.Row
+	Through                   uint64 // everything up to it has become final
+	Closed                    bool   // and nothing will follow
+}
+
+// Foreign: another place ships the same incarnation.
+var Foreign = errors.New("this incarnation is shipped from another place")
+
+var entryFields = [][2]string{{"incarnation", "text"}, {"n", "big"}, {"agent", "text"}, {"state", "text"}, {"txn", "text"},
+	{"product", "text"}, {"outcome", "text"}, {"reason", "text"}, {"build", "big"}, {"appliance", "text"},
+	{"submissions", "big"}, {"taken_ms", "real"}, {"answered_ms", "real"}, {"body", "text"}, {"mark", "text"}}
+
+var gapFields = [][2]string{{"incarnation", "text"}, {"n", "big"}, {"agent", "text"}, {"settled", "big"},
+	{"declined", "big"}, {"voided", "big"}, {"unknown", "big"}, {"from_ms", "real"}, {"to_ms", "real"}, {"cause", "text"}}
+
+func (s *Store) insert(name, table string, fields [][2]string) string {
+	var names, values []string
+	for _, f := range fields {
+		names, values = append(names, f[0]), append(values, s.d.Field(f[0], f[1]))
+	}
+	again := " on conflict do nothing"
+	if points.Defect("no-dedupe") && table == "onyxgate_entry" {
+		again = ""
+	}
+	return name + "insert into " + table + " (" + strings.Join(names, ", ") + ") select " + strings.Join(values, ", ") +
+		" from " + s.d.Rows + " where true" + again
+}
+
+// Put stores a batch whole or not at all, each row once however often it comes. It returns the bytes that went.
+func (s *Store) Put(ctx context.Context, b Batch) (bytes int, err error) {
+	var entries []Row
+	var gaps []GapRow
+	for _, r := range b.Rows {
+		if g := r.Gap; g != nil {
+			gaps = append(gaps, GapRow{b.Agent, b.Incarnation, g.N, g.Counts[record.Settled], g.Counts[record.Declined],
+				g.Counts[record.Voided], g.Counts[0], g.From, g.To, g.Cause})
+			continue
+		}
+		e := r.Entry
+		entries = append(entries, Row{b.Agent, b.Incarnation, e.N, r.State.String(), e.Txn, e.Product, e.Outcome.String(),
+			e.Reason, e.Build, e.Appliance, e.Submissions, e.Taken, e.Answered, digest(e.Body), digest(e.Mark)})
+	}
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer tx.Rollback()
+	points.At("ship.begun")
+	// The claim locks the incarnation's row, so that of two shippers one waits.
+	if _, err := tx.ExecContext(ctx, NameClaim+`insert into onyxgate_incarnation (incarnation, agent, place, through, closed)
+		values ($1, $2, $3, 0, 0) on conflict do nothing`, b.Incarnation, b.Agent, b.Place); err != nil {
+		return 0, err
+	}
+	if _, err := tx.ExecContext(ctx, NameThrough+`update onyxgate_incarnation set
+		through = case when through < $1 then $2 else through end, closed = case when closed < $3 then $4 else closed end
+		where incarnation = $5`, int64(b.Through), int64(b.Through), one(b.Closed), one(b.Closed), b.Incarnation); err != nil {
+		return 0, err
+	}
+	var place string
+	if err := tx.QueryRowContext(ctx, NameOwner+`select place from onyxgate_incarnation where incarnation = $1`,
+		b.Incarnation).Scan(&place); err != nil {
+		return 0, err
+	}
+	if place != b.Place {
+		return 0, fmt.Errorf("%w: %s, not %s", Foreign, place, b.Place)
+	}
+	for _, part := range []struct {
+		name, table string
+		fields      [][2]string
+		rows        any
+		n           int
+	}{{NamePut, "onyxgate_entry", entryFields, entries, len(entries)},
+		{NameGaps, "onyxgate_gap", gapFields, gaps, len(gaps)}} {
+		if part.n == 0 {
+			continue
+		}
+		text, err := json.Marshal(part.rows)
+		if err != nil {
+			return 0, err
+		}
+		bytes += len(text)
+		if _, err := tx.ExecContext(ctx, s.insert(part.name, part.table, part.fields), string(text)); err != nil {
+			return 0, err
+		}
+	}
+	points.At("ship.commit")
+	if err := tx.Commit(); err != nil {
+		return 0, err
+	}
+	points.At("ship.committed")
+	return bytes, nil
+}
+
+func one(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Reply says what an error of Put means for the batches to come.
+func (s *Store) Reply(err error) record.Reply {
+	switch {
+	case err == nil:
+		return record.Stored
+	case errors.Is(err, Foreign):
+		return record.Foreign
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return record.Lost
+	}
+	return s.d.Reply(err)
+}
+
+// Through is how far an incarnation is stored, and whether it is closed.
+func (s *Store) Through(ctx context.Context, incarnation string) (through uint64, closed bool, err error) {
+	var t, c int64
+	err = s.db.QueryRowContext(ctx, NameOwner+`select through, closed from onyxgate_incarnation where incarnation = $1`,
+		incarnation).Scan(&t, &c)
+	if errors.Is(err, sql.ErrNoRows) {
+		return 0, false, nil
+	}
+	return uint64(t), c != 0, err
+}
+
+// Filter selects rows; empty fields select all. Times are Unix ms, From included and To not.
+type Filter struct {
+	From, To                            float64
+	Agent, Product, Outcome, State, Txn string
+	Limit                               int
+}
+
+func (f Filter) where() (text string, args []any) {
+	text = " where true"
+	add := func(condition string, value any) {
+		args = append(args, value)
+		text += fmt.Sprintf(" and "+condition, fmt.Sprintf("$%d", len(args)))
+	}
+	if f.From > 0 {
+		add("answered_ms >= %s", f.From)
+	}
+	if f.To > 0 {
+		add("answered_ms < %s", f.To)
+	}
+	for _, c := range [][2]string{{"agent", f.Agent}, {"product", f.Product}, {"outcome", f.Outcome}, {"state", f.State},
+		{"txn", f.Txn}} {
+		if c[1] != "" {
+			add(c[0]+" = %s", c[1])
+		}
+	}
+	return text, args
+}
+
+// Select calls each with the rows that match, oldest first, one at a time; an error of each ends it.
+func (s *Store) Select(ctx context.Context, f Filter, each func(Row) error) error {
+	where, args := f.where()
+	text := NameSelect + `select agent, incarnation, n, state, txn, product, outcome, reason, build, appliance, submissions,
+		taken_ms, answered_ms, body, mark from onyxgate_entry` + where + ` order by answered_ms`
+	if f.Limit > 0 {
+		text += fmt.Sprintf(" limit %d", f.Limit)
+	}
+	rows, err := s.db.QueryContext(ctx, text, args...)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var r Row
+		var n int64
+		if err := rows.Scan(&r.Agent, &r.Incarnation, &n, &r.State, &r.Txn, &r.Product, &r.Outcome, &r.Reason, &r.Build,
+			&r.Appliance, &r.Submissions, &r.Taken, &r.Answered, &r.Body, &r.Mark); err != nil {
+			return err
+		}
+		r.N = uint64(n)
+		if err := each(r); err != nil {
+			return err
+		}
+	}
+	return rows.Err()
+}
+
+// Gaps calls each with the gaps of an agent, or of all.
+func (s *Store) Gaps(ctx context.Context, agent string, each func(GapRow) error) error {
+	text, args := NameMissed+`select agent, incarnation, n, settled, declined, voided, unknown, from_ms, to_ms, cause
+		from onyxgate_gap`, []any{}
+	if agent != "" {
+		text, args = text+" where agent = $1", append(args, agent)
+	}
+	rows, err := s.db.QueryContext(ctx, text+" order by from_ms", args...)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var g GapRow
+		var n int64
+		if err := rows.Scan(&g.Agent, &g.Incarnation, &n, &g.Settled, &g.Declined, &g.Voided, &g.Unknown, &g.From, &g.To,
+			&g.Cause); err != nil {
+			return err
+		}
+		g.N = uint64(n)
+		if err := each(g); err != nil {
+			return err
+		}
+	}
+	return rows.Err()
+}
+
+// Count calls each with how many entries there are by agent, product, outcome and state.
+func (s *Store) Count(ctx context.Context, f Filter, each func(agent, product, outcome, state string, n int64) error) error {
+	where, args := f.where()
+	rows, err := s.db.QueryContext(ctx, NameCount+`select agent, product, outcome, state, count(*) from onyxgate_entry`+where+
+		` group by agent, product, outcome, state order by agent, product, outcome, state`, args...)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var agent, product, outcome, state string
+		var n int64
+		if err := rows.Scan(&agent, &product, &outcome, &state, &n); err != nil {
+			return err
+		}
+		if err := each(agent, product, outcome, state, n); err != nil {
+			return err
+		}
+	}
+	return rows.Err()
+}
+
+// Repeats counts the ordinals that stand more than once: none, unless somebody took the key away.
+func (s *Store) Repeats(ctx context.Context) (n int64, err error) {
+	err = s.db.QueryRowContext(ctx, NameCount+`select count(*) from (select 1 from onyxgate_entry group by incarnation, n
+		having count(*) > 1) repeats`).Scan(&n)
+	return n, err
+}
+
+// Prune removes entries answered before a time (ms), `most` at the most, and returns how many.
+func (s *Store) Prune(ctx context.Context, before float64, most int) (int64, error) {
+	done, err := s.db.ExecContext(ctx, NamePrune+`delete from onyxgate_entry where (incarnation, n) in (select incarnation, n
+		from onyxgate_entry where answered_ms < $1 limit $2)`, before, most)
+	if err != nil {
+		return 0, err
+	}
+	return done.RowsAffected()
+}
+
+// Checkpoint does the store's own upkeep, if it has any.
+func (s *Store) Checkpoint(ctx context.Context) error {
+	if s.d.Checkpoint == "" {
+		return nil
+	}
+	_, err := s.db.ExecContext(ctx, s.d.Checkpoint)
+	return err
+}
+
+// Close lets the store go.
+func (s *Store) Close() error { return s.db.Close() }
+
+// Hold keeps a transaction open while something runs, and rolls it back: with the store's write lock in it, others stand
+// still meanwhile.
+func (s *Store) Hold(ctx context.Context, while func()) error {
+	tx, err := s.db.BeginTx(ctx, nil)
+	if err != nil {
+		return err
+	}
+	defer tx.Rollback()
+	if _, err := tx.ExecContext(ctx, NameClaim+`update onyxgate_incarnation set through = through where incarnation = ''`); err != nil {
+		return err
+	}
+	while()
+	return nil
+}
--- /dev/null
+++ b/internal/standin/tier/serve.go
@@ -0,0 +1,263 @@
+package tier
+
+// This file owns the sockets: appliances, discovery and the platform.
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Appliance has some cores and a queue, is cold after its start and falls over when pushed.
+type Appliance struct {
+	ID      string
+	Build   int
+	world   *World
+	cores   int
+	started time.Time
+	state   string
+	bad     float64
+	told    []time.Time // by agent: that it drains or is gone
+	servers []*http.Server
+	listens []net.Listener
+	slots   chan bool
+	waiting atomic.Int64
+	inside  atomic.Int64
+	mu      sync.Mutex
+	pushed  time.Time // since when it has been pushed too hard
+	fallen  bool
+}
+
+const queueMost = 64
+
+func newAppliance(w *World, id string, build, cores int, at time.Time) (*Appliance, error) {
+	a := &Appliance{ID: id, Build: build, world: w, cores: cores, started: at, state: "Ready",
+		told: make([]time.Time, w.Agents), slots: make(chan bool, cores)}
+	for i := range w.Agents { // an address for each agent, by which its calls are known
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		s := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { a.serve(i, rw, r) })}
+		a.listens, a.servers = append(a.listens, l), append(a.servers, s)
+		go s.Serve(l)
+	}
+	return a, nil
+}
+
+func (a *Appliance) address(agent int) string { return a.listens[agent].Addr().String() }
+
+func (a *Appliance) close() {
+	for _, s := range a.servers {
+		s.Close()
+	}
+}
+
+// speed is its part of full speed: a fresh one is cold.
+func (a *Appliance) speed() float64 {
+	if a.started.IsZero() {
+		return 1
+	}
+	return min(ColdFrom+(1-ColdFrom)*float64(time.Since(a.started))/float64(WarmUp), 1)
+}
+
+// push tells whether it still stands: more than Overload times what it can do now, for FallTime, and it falls for good.
+func (a *Appliance) push() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.started.IsZero() || a.speed() >= 1 {
+		return !a.fallen
+	}
+	if float64(a.inside.Load()) <= Overload*a.speed()*float64(a.cores) {
+		a.pushed = time.Time{}
+	} else if a.pushed.IsZero() {
+		a.pushed = time.Now()
+	} else if time.Since(a.pushed) > FallTime && !a.fallen {
+		a.fallen = true
+		a.world.mu.Lock()
+		a.world.Broken.Fallen++
+		a.world.mu.Unlock()
+	}
+	return !a.fallen
+}
+
+func (a *Appliance) serve(agent int, rw http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id, mark := r.Header.Get("Req-Id"), r.Header.Get("Idempotency-Key")
+	product := Products[0]
+	for _, p := range Products {
+		if len(r.URL.Path) > len(p.Name) && r.URL.Path[1:1+len(p.Name)] == p.Name {
+			product = p
+		}
+	}
+	w := a.world
+	w.mu.Lock()
+	if t := a.told[agent]; !t.IsZero() && time.Since(t) > Grace+50*time.Millisecond {
+		w.Broken.Drains++
+	}
+	if s := w.stage; a.Build == s.Build && s.Mode == "canary" {
+		w.trials[agent] = append(w.trials[agent], time.Now())
+	}
+	draining := a.state != "Ready"
+	w.mu.Unlock()
+	a.inside.Add(1)
+	defer a.inside.Add(-1)
+	if !a.push() {
+		panic(http.ErrAbortHandler)
+	}
+	rw.Header().Set("Srv-Load", fmt.Sprintf("inflight=%d,queue=%d,util=%.2f", a.inside.Load(), a.waiting.Load(),
+		float64(len(a.slots))/float64(a.cores)))
+	if draining || a.waiting.Load() >= queueMost {
+		decline(rw)
+		return
+	}
+	a.waiting.Add(1)
+	select {
+	case a.slots <- true:
+		a.waiting.Add(-1)
+	case <-r.Context().Done(): // given up while it waited: it never ran
+		a.waiting.Add(-1)
+		return
+	}
+	defer func() { <-a.slots }()
+	again := w.runs(product, id, mark)
+	if !again {
+		time.Sleep(time.Duration(float64(product.Work) / a.speed() * (0.8 + 0.4*rand.Float64())))
+	}
+	if rand.Float64() < a.bad {
+		http.Error(rw, "broken", http.StatusInternalServerError)
+		return
+	}
+	answer := fmt.Sprintf("%s %s %x", product.Name, id, len(body))
+	rw.Header().Set("Content-Type", "text/plain")
+	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	io.WriteString(rw, answer)
+}
+
+func decline(rw http.ResponseWriter) {
+	rw.Header().Set("Srv-Declined", "1")
+	http.Error(rw, "full", http.StatusServiceUnavailable)
+}
+
+// runs notes that a txn runs, and tells whether it is a repeat that is dropped.
+func (w *World) runs(p Product, id, mark string) (dropped bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch p.Effect {
+	case "once":
+		if w.ran[id]++; w.ran[id] > 1 {
+			w.Broken.Twice++
+		}
+	case "by_key":
+		if at, ok := w.marks[mark]; ok {
+			if time.Since(at) < p.Remember {
+				return true
+			}
+			w.Broken.Twice++
+		}
+		w.marks[mark] = time.Now()
+	}
+	return false
+}
+
+// listener is one open stream.
+type listener struct {
+	agent int
+	lines chan string
+}
+
+func (l *listener) send(text string) {
+	select {
+	case l.lines <- text:
+	default: // a reader that far behind gets the rest when it comes again
+	}
+}
+
+// stream writes what comes to one listener until it goes away.
+func stream(ctx context.Context, rw http.ResponseWriter, l *listener, kind, first, life string, every time.Duration) {
+	rw.Header().Set("Content-Type", kind)
+	out := http.NewResponseController(rw)
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	text := first
+	for {
+		if _, err := io.WriteString(rw, text); err != nil || out.Flush() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case text = <-l.lines:
+		case <-tick.C:
+			text = life
+		}
+	}
+}
+
+func (w *World) discovery(agent int, l net.Listener) {
+	http.Serve(l, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		text, _ := json.Marshal(w.list(agent, true))
+		for _, a := range w.fleet {
+			if a.state != "Ready" && a.told[agent].IsZero() {
+				a.told[agent] = time.Now()
+			}
+		}
+		if r.URL.Query().Get("watch") == "" {
+			w.mu.Unlock()
+			rw.Write(text)
+			return
+		}
+		s := &listener{agent, make(chan string, 64)}
+		w.watch[s] = true
+		w.mu.Unlock()
+		stream(r.Context(), rw, s, "application/json", string(text)+"\n", "\n", 2*time.Second)
+		w.mu.Lock()
+		delete(w.watch, s)
+		w.mu.Unlock()
+	}))
+}
+
+func (w *World) platform(l net.Listener) {
+	http.Serve(l, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/notices" {
+			w.mu.Lock()
+			s := &listener{0, make(chan string, 64)}
+			w.notice[s] = true
+			first := w.news()
+			w.mu.Unlock()
+			stream(r.Context(), rw, s, "text/event-stream", first, ":\n", time.Second)
+			w.mu.Lock()
+			delete(w.notice, s)
+			w.mu.Unlock()
+			return
+		}
+		build, err1 := strconv.Atoi(r.FormValue("release"))
+		stage, err2 := strconv.Atoi(r.FormValue("tranche"))
+		status, code := 400, "SYNTAX"
+		if err1 == nil && err2 == nil && r.FormValue("Action") == "CastVote" {
+			status, code = w.vote(build, stage, r.FormValue("ruling"))
+		}
+		s := w.At()
+		text := fmt.Sprintf(`<?xml version="1.0"?><Response><groups><item><release>%d</release><tranche>%d</tranche>`+
+			`<mode>%s</mode><exposure>%g</exposure><old_ms>%d</old_ms></item></groups></Response>`, s.Build, s.Stage, s.Mode, s.Cap,
+			time.Since(s.At).Milliseconds())
+		if status != 200 {
+			text = "<Error><Code>" + code + "</Code></Error>"
+		}
+		rw.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		rw.WriteHeader(status)
+		io.WriteString(rw, text)
+	}))
+}
--- /dev/null
+++ b/internal/standin/tier/tier.go
@@ -0,0 +1,342 @@
+// Package tier stands in for the platform's side on loopback: appliances, discovery and the pipeline, by the users'
+// protocol, with what rehearsals have to count from outside. It is small on purpose: no model of a fleet grows here.
+package tier
+
+// This file owns the world: who is in the fleet, the roll-out, and the configuration that an agent starts with.
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Product is one as clients and appliances know it.
+type Product struct {
+	Name     string
+	Share    float64
+	Work     time.Duration
+	SLA      time.Duration
+	Expiry   time.Duration
+	Effect   string // repeatable, by_key, once
+	Remember time.Duration
+}
+
+// Products are the rehearsals' own.
+var Products = []Product{
+	{"preview", 0.5, 20 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second, "repeatable", 0},
+	{"export", 0.3, 30 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, "by_key", 10 * time.Second},
+	{"order", 0.2, 25 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, "once", 0},
+}
+
+// What the contract of these rehearsals says; times as the agents are told.
+const (
+	Grace    = 1000 * time.Millisecond // for drains
+	ColdFrom = 0.4
+	WarmUp   = 3 * time.Second
+	Overload = 4.0
+	FallTime = time.Second
+	FreeTrys = 2
+	Window   = 4 * time.Second
+)
+
+var (
+	rings = []float64{0.2, 0.5, 1}
+	caps  = []float64{0.25, 0.6, 1}
+)
+
+// Stage is where the newest build stood from a time on.
+type Stage struct {
+	At    time.Time
+	Build int
+	Stage int
+	Mode  string
+	Cap   float64
+}
+
+// World is the platform's side for a number of agents.
+type World struct {
+	Agents int
+	mu     sync.Mutex
+	chance *rand.Rand
+	fleet  []*Appliance // all that ever were, in the order of their start
+	listed int          // version of the list
+	stage  Stage
+	Stages []Stage
+	began  time.Time // of the stage
+	watch  map[*listener]bool
+	notice map[*listener]bool
+	lists  []net.Listener // discovery's, one an agent
+	votes  net.Listener
+	Votes  map[string]int
+	marks  map[string]time.Time // of referenced txns, when first run
+	ran    map[string]int       // once-only txns, by id
+	takens [][]time.Time        // txns by agent, for exposure
+	trials [][]time.Time        // submissions at the build on trial, by agent
+	Broken Broken
+}
+
+// Broken counts breaches of the rules as seen from outside; lost txns are the clients' to count.
+type Broken struct {
+	Twice, Drains, Fallen, Exposure int
+}
+
+// New starts a world of so many appliances of build 1, each with some cores.
+func New(agents, appliances, cores int, seed uint64) (*World, error) {
+	w := &World{Agents: agents, chance: rand.New(rand.NewPCG(seed, 1)), watch: map[*listener]bool{},
+		notice: map[*listener]bool{}, Votes: map[string]int{}, marks: map[string]time.Time{}, ran: map[string]int{},
+		takens: make([][]time.Time, agents), trials: make([][]time.Time, agents)}
+	w.stage = Stage{At: time.Now(), Build: 1, Stage: len(rings) - 1, Mode: "stable", Cap: 1}
+	w.Stages = []Stage{w.stage}
+	for range appliances {
+		if err := w.start(1, cores, time.Time{}); err != nil {
+			return nil, err
+		}
+	}
+	for i := range agents {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		w.lists = append(w.lists, l)
+		go w.discovery(i, l)
+	}
+	var err error
+	if w.votes, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	go w.platform(w.votes)
+	return w, nil
+}
+
+// Close ends it all.
+func (w *World) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, l := range append(w.lists, w.votes) {
+		l.Close()
+	}
+	for _, a := range w.fleet {
+		a.close()
+	}
+}
+
+func (w *World) start(build, cores int, at time.Time) error {
+	a, err := newAppliance(w, fmt.Sprintf("a%d", len(w.fleet)+1), build, cores, at)
+	if err == nil {
+		w.fleet = append(w.fleet, a)
+		w.listed++
+	}
+	return err
+}
+
+// Offer begins the roll-out of a build; bad is the share of txns that it fails.
+func (w *World) Offer(build int, bad float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turn(Stage{At: time.Now(), Build: build, Stage: 0, Mode: "canary", Cap: caps[0]}, bad)
+}
+
+// turn begins a stage: its machines start, and each one's predecessor drains. Under the lock.
+func (w *World) turn(s Stage, bad float64) {
+	w.stage, w.began = s, s.At
+	w.Stages = append(w.Stages, s)
+	w.tell()
+	target := 1.0
+	if s.Mode == "canary" {
+		target = rings[s.Stage]
+	}
+	running, done, cores := []*Appliance{}, 0, 1
+	for _, a := range w.fleet {
+		if a.state != "Ready" {
+			continue
+		}
+		if cores = a.cores; a.Build == s.Build {
+			done++
+		} else {
+			running = append(running, a)
+		}
+	}
+	if s.Mode == "reverting" { // machines of the build that goes drain; the earlier one's start in their place
+		for _, a := range w.fleet {
+			if a.state == "Ready" && a.Build == s.Build {
+				w.start(s.Build-1, cores, time.Now())
+				w.drain(a)
+			}
+		}
+		w.publish()
+		return
+	}
+	all := len(running) + done
+	for i := 0; done < int(target*float64(all)+0.5) && i < len(running); i++ {
+		if w.start(s.Build, cores, time.Now()) != nil {
+			return
+		}
+		w.fleet[len(w.fleet)-1].bad = bad
+		w.drain(running[i])
+		done++
+	}
+	w.publish()
+}
+
+func (w *World) drain(a *Appliance) {
+	a.state = "Terminating"
+	time.AfterFunc(3*time.Second, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		a.state = "Gone"
+		w.publish()
+		a.close()
+	})
+}
+
+// vote takes one and says by which status and code it is answered.
+func (w *World) vote(build, stage int, ruling string) (status int, code string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Votes[ruling]++
+	s := w.stage
+	switch {
+	case build != s.Build || stage != s.Stage || s.Mode != "canary" && ruling != "abort":
+		return 400, "STALE"
+	case ruling == "promote" && time.Since(w.began) > time.Second && s.Stage+1 < len(rings):
+		w.turn(Stage{time.Now(), s.Build, s.Stage + 1, "canary", caps[s.Stage+1]}, w.badness(s.Build))
+	case ruling == "promote" && time.Since(w.began) > time.Second:
+		w.turn(Stage{time.Now(), s.Build, s.Stage, "stable", 1}, w.badness(s.Build))
+	case ruling == "abort":
+		w.turn(Stage{time.Now(), s.Build, s.Stage, "reverting", 0}, 0)
+	}
+	return 200, ""
+}
+
+func (w *World) badness(build int) float64 {
+	for _, a := range w.fleet {
+		if a.Build == build {
+			return a.bad
+		}
+	}
+	return 0
+}
+
+// At is the stage now.
+func (w *World) At() Stage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stage
+}
+
+// Took notes that an agent was given a txn.
+func (w *World) Took(agent int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.takens[agent] = append(w.takens[agent], time.Now())
+}
+
+// Audit counts what can only be counted at the end: in any window an agent's submissions at the build on trial are at most
+// the free ones and the cap's share of the txns that it took, with the two submissions and 4% that the protocol lets pass.
+func (w *World) Audit() Broken {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for agent, tries := range w.trials {
+		taken, lo, from := w.takens[agent], 0, 0
+		for i, t := range tries {
+			for tries[lo].Before(t.Add(-Window)) {
+				lo++
+			}
+			for from < len(taken) && taken[from].Before(t.Add(-Window)) {
+				from++
+			}
+			n := 0
+			for _, at := range taken[from:] {
+				if at.After(t) {
+					break
+				}
+				n++
+			}
+			most := 0.0 // of the caps in force in the window: a lower one binds once the window has passed
+			for k, s := range w.Stages {
+				if s.At.Before(t) && (k+1 == len(w.Stages) || w.Stages[k+1].At.After(t.Add(-Window))) {
+					most = max(most, s.Cap)
+				}
+			}
+			if float64(i-lo+1) > FreeTrys+2+(most+0.04)*float64(n) {
+				w.Broken.Exposure++
+			}
+		}
+	}
+	return w.Broken
+}
+
+// Configuration is what an agent starts with.
+func (w *World) Configuration(agent int, name, listen string, seed uint64) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	var grades []map[string]any
+	for _, p := range Products {
+		grades = append(grades, map[string]any{"name": p.Name, "aim-us": us(p.SLA), "deadline-us": us(p.Expiry), "worth": 1,
+			"late-value": 0.1, "effect": p.Effect, "key-scope": "all", "key-ttl-us": us(p.Remember)})
+	}
+	s := w.stage
+	text, err := json.Marshal(map[string]any{"name": name, "listen": listen, "discovery": w.lists[agent].Addr().String(),
+		"seed": fmt.Sprintf("%x", seed), "limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024},
+		"pipeline": map[string]any{"address": w.votes.Addr().String(), "news": map[string]any{"release": s.Build,
+			"tranche": s.Stage, "mode": s.Mode, "exposure": s.Cap, "old_ms": time.Since(s.At).Milliseconds()}},
+		"known": w.list(agent, true),
+		"settings": map[string]any{"me": agent, "balancers": w.Agents, "grades": grades, "dcs": []string{"z"},
+			"skus": []string{"m"}, "discovery": "push", "report": map[string]any{"source": "answers"},
+			"limits": map[string]any{"max-attempts": 4, "parallel-tries": true, "cancel": true, "probes": false,
+				"connect-timeout-us": 250000, "idle-close-us": 30000000},
+			"contract": map[string]any{"drain-grace-us": us(Grace), "cold-from": ColdFrom, "warm-up-us": us(WarmUp),
+				"overload-factor": Overload, "fall-us": us(FallTime)},
+			"family-info": map[string]any{"spare-tries": FreeTrys, "most-shares": caps, "rings": rings,
+				"decided-by": "single", "back-votes": 1, "ballot-ttl-us": 4000000, "call-timeout-us": 800000}}})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+func (w *World) list(agent int, full bool) map[string]any {
+	servers := []map[string]any{}
+	for _, a := range w.fleet {
+		if full && a.state == "Gone" {
+			continue
+		}
+		started := int64(0)
+		if !a.started.IsZero() {
+			started = a.started.UnixMilli()
+		}
+		servers = append(servers, map[string]any{"id": a.ID, "addr": a.address(agent), "zone": "z", "kind": "m",
+			"state": a.state, "weight": 1.0, "started_ms": started, "version_no": a.Build})
+	}
+	return map[string]any{"version": w.listed, "full": full, "servers": servers}
+}
+
+// publish sends the list to every watch. Under the lock.
+func (w *World) publish() {
+	w.listed++
+	for l := range w.watch {
+		text, _ := json.Marshal(w.list(l.agent, false))
+		l.send(string(text) + "\n")
+		for _, a := range w.fleet {
+			if a.state != "Ready" && a.told[l.agent].IsZero() {
+				a.told[l.agent] = time.Now()
+			}
+		}
+	}
+}
+
+func (w *World) tell() {
+	for l := range w.notice {
+		l.send(w.news())
+	}
+}
+
+func (w *World) news() string {
+	s := w.stage
+	return fmt.Sprintf("event: stage\ndata: release=%d&tranche=%d&mode=%s&exposure=%g&old_ms=%d\n\n", s.Build, s.Stage, s.Mode,
+		s.Cap, time.Since(s.At).Milliseconds())
+}
