--- a/cmd/rehearse/record.go
+++ b/cmd/rehearse/record.go
@@ -34,7 +34,7 @@
 	Seed   uint64  `default:"1" help:"Draws traffic, kill points and stalls."`
 	Kills  int     `default:"40" help:"Kills of agents, at least."`
 	Store  string  `enum:"sqlite,postgres" default:"sqlite" help:"sqlite or postgres."`
-	Rate   float64 `default:"150" help:"Txns a second."`
+	Rate   float64 `default:"300" help:"Txns a second."`
 	Defect string  `enum:",answer-before-sync,no-dedupe" default:"" help:"A protection to switch off: the run must then fail."`
 	Short  bool    `help:"Fewer kills, and only what must hold on any machine."`
 	JSON   bool    `help:"Accepted for symmetry: the figures are always JSON."`
@@ -50,16 +50,17 @@
 	{"ship.committed", 6}, {"spool.prune", 1}, {"spool.drop", 1}}
 
 type recFigures struct {
-	Seed         uint64         `json:"seed"`
-	Store        string         `json:"store"`
-	Defect       string         `json:"defect,omitempty"`
-	Answers      int            `json:"answers"`
-	Recorded     int            `json:"recorded"`
-	Missing      int            `json:"missing"`
-	Duplicates   int            `json:"duplicates"`
-	Invented     int            `json:"invented"`
-	InDoubt      int            `json:"in_doubt"`
-	OpenAtKills  int            `json:"open_at_kills"`
+	Seed         uint64 `json:"seed"`
+	Store        string `json:"store"`
+	Defect       string `json:"defect,omitempty"`
+	Answers      int    `json:"answers"`
+	Recorded     int    `json:"recorded"`
+	Missing      int    `json:"missing"`
+	Duplicates   int    `json:"duplicates"`
+	Invented     int    `json:"invented"`
+	InDoubt      int    `json:"in_doubt"`
+	OpenAtKills  int    `json:"open_at_kills"`
+	deaths       []death
 	KillsAgent   int            `json:"kills_agent"`
 	KillsAt      map[string]int `json:"kills_at"`
 	KillsStore   int            `json:"kills_store"`
@@ -153,7 +154,7 @@
 		own := rand.New(rand.NewPCG(r.Seed, uint64(100+i)))
 		all.Go(func() {
 			for killing.Err() == nil {
-				at := r.life(killing, c, clients, i, own, settings, env, &f, &mu, &failed)
+				at := r.life(killing, c, i, own, settings, env, &f, &mu, &failed)
 				mu.Lock()
 				if at != "" {
 					f.KillsAgent++
@@ -165,6 +166,9 @@
 					enough()
 				}
 			}
+			if at, _ := armed(c.run[i]); at != "" && failed == nil { // it would die in leaving
+				r.restart(c, i, own.Uint64(), settings, env, &f, &mu, &failed)
+			}
 		})
 	}
 	all.Go(func() {
@@ -215,6 +219,7 @@
 	}
 	f.SettledCalm, f.P99Calm, _ = share(log, calmFrom, stallFrom)
 	f.SettledStall, f.P99Stall, f.StallAnswers = share(log, stallFrom, stallTo)
+	f.OpenAtKills = f.open(log)
 	f.RulesBroken = w.Audit()
 	f.Took = time.Since(began).Seconds()
 	claim := func(ok bool, format string, args ...any) {
@@ -244,49 +249,82 @@
 	}
 }
 
+// death is when an agent died, as seen from outside.
+type death struct {
+	agent int
+	at    time.Time
+}
+
+// armed is the point at which an agent will kill itself.
+func armed(p *process) (point string, ok bool) {
+	for _, e := range p.cmd.Env {
+		if rest, ok := strings.CutPrefix(e, "ONYXGATE_KILL_AT="); ok {
+			point, _, _ = strings.Cut(rest, ":")
+			return point, true
+		}
+	}
+	return "", false
+}
+
 // life lets one agent live until it dies at a drawn point, or is killed from outside, and starts it again. It returns where
 // it died, empty where the rehearsal ended first.
-func (r rec) life(ctx context.Context, c *crew, clients *tier.Clients, i int, chance *rand.Rand, settings string, env []string,
-	f *recFigures, mu *sync.Mutex, failed *error) (at string) {
+func (r rec) life(ctx context.Context, c *crew, i int, chance *rand.Rand, settings string, env []string, f *recFigures,
+	mu *sync.Mutex, failed *error) (at string) {
 	c.mu.Lock()
 	p := c.run[i]
 	c.mu.Unlock()
-	limit := time.Duration(600+chance.IntN(1200)) * time.Millisecond
-	open, point := 0, ""
-	if e := p.cmd.Env[len(p.cmd.Env)-1]; strings.HasPrefix(e, "ONYXGATE_KILL_AT=") {
-		point, _, _ = strings.Cut(strings.TrimPrefix(e, "ONYXGATE_KILL_AT="), ":")
-	}
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(time.Duration(600+chance.IntN(1200)) * time.Millisecond)
 	defer timer.Stop()
 	select {
-	case <-p.done: // clients see it a moment later: they still count as open
-		open = clients.Open(i)
-		at = point
+	case <-p.done:
+		at, _ = armed(p)
 	case <-timer.C:
-		open = clients.Open(i)
-		p.cmd.Process.Kill()
-		<-p.done
 		at = "outside"
 	case <-ctx.Done():
 		return ""
 	}
-	mu.Lock()
-	f.OpenAtKills += open
-	if !killed(p.err) && *failed == nil {
-		*failed = fmt.Errorf("agent %s ended by itself: %w\n%s", agentName(i), p.err, c.tail(i))
-	}
-	mu.Unlock()
 	next := append([]string(nil), env...)
 	if chance.IntN(4) > 0 {
 		k := killPoints[chance.IntN(len(killPoints))]
 		next = append(next, fmt.Sprintf("ONYXGATE_KILL_AT=%s:%d", k.name, 1+chance.IntN(k.most)))
 	}
-	if _, err := c.start(i, chance.Uint64(), settings, next...); err != nil {
+	r.restart(c, i, chance.Uint64(), settings, next, f, mu, failed)
+	return at
+}
+
+// restart kills an agent that does not lie dead yet, and starts it again.
+func (r rec) restart(c *crew, i int, seed uint64, settings string, env []string, f *recFigures, mu *sync.Mutex,
+	failed *error) {
+	p := c.run[i]
+	at := time.Now()
+	p.cmd.Process.Kill()
+	<-p.done
+	mu.Lock()
+	f.deaths = append(f.deaths, death{i, at})
+	if !killed(p.err) && *failed == nil {
+		*failed = fmt.Errorf("agent %s ended by itself: %w\n%s", agentName(i), p.err, c.tail(i))
+	}
+	mu.Unlock()
+	if _, err := c.start(i, seed, settings, env...); err != nil {
 		mu.Lock()
 		*failed = err
 		mu.Unlock()
 	}
-	return at
+}
+
+// seenLate is how much later than it happened a death, or an answer, may be seen here.
+const seenLate = 5 * time.Millisecond
+
+// open counts the txns that were under way at an agent's death, as their clients saw it.
+func (f *recFigures) open(log []tier.Got) (n int) {
+	for _, d := range f.deaths {
+		for _, g := range log {
+			if g.Agent == d.agent && g.Outcome != "nobody" && g.Sent.Before(d.at) && g.Done.After(d.at.Add(-seenLate)) {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // judge holds the record against what the clients got.
--- a/internal/record/keeper/ship.go
+++ b/internal/record/keeper/ship.go
@@ -281,7 +281,10 @@
 	}
 	freed, err := s.spool.Drop(l.incarnation)
 	s.freed(freed)
-	entry.WithError(err).Info("an earlier incarnation is stored")
+	if err != nil { // it is shipped again at the next start, and dropped then
+		entry = entry.WithError(err)
+	}
+	entry.Info("an earlier incarnation is stored")
 }
 
 // prune removes the segments in which everything is stored.
