--- a/cmd/rehearse/day.go
+++ b/cmd/rehearse/day.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -21,6 +22,7 @@
 	Length   time.Duration `default:"24s" help:"How long clients send."`
 	Rate     float64       `default:"150" help:"Txns a second."`
 	Bad      float64       `default:"0" help:"Share of txns that the new build fails."`
+	Program  string        `type:"path" help:"An agent that is built already, as an earlier version to compare with."`
 	Settings string        `type:"path" help:"Our settings for the agents."`
 	Short    bool          `help:"8 s, and only what must hold on any machine."`
 	JSON     bool          `help:"Figures as JSON in place of the table."`
@@ -37,6 +39,8 @@
 	P50      float64                   `json:"p50_ms"`
 	P99      float64                   `json:"p99_ms"`
 	Stages   []string                  `json:"stages"`
+	Resident []float64                 `json:"resident_mb"` // of each agent, just before it leaves
+	CPU      float64                   `json:"cpu_us_a_txn"`
 }
 
 func (d day) Run() error {
@@ -48,9 +52,11 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	program, err := build(dir, "")
-	if err != nil {
-		return err
+	program := d.Program
+	if program == "" {
+		if program, err = build(dir, ""); err != nil {
+			return err
+		}
 	}
 	w, err := tier.New(3, 10, 3, d.Seed)
 	if err != nil {
@@ -75,10 +81,16 @@
 	time.AfterFunc(d.Length/8, func() { w.Offer(2, d.Bad) })
 	go progress(ctx, d.Length, w)
 	clients.Run(ctx, func() float64 { return d.Rate }, d.Seed)
+	f := figures{Seed: d.Seed, Outcomes: map[string]map[string]int{}, Broken: w.Audit()}
+	cpu := time.Duration(0)
+	for _, p := range c.run {
+		f.Resident = append(f.Resident, resident(p.cmd.Process.Pid))
+	}
 	broken := c.stop()
+	for _, p := range c.run {
+		cpu += p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+	}
 	c.run = make([]*process, w.Agents)
-
-	f := figures{Seed: d.Seed, Outcomes: map[string]map[string]int{}, Broken: w.Audit()}
 	times := hdrhistogram.New(1, 60_000_000, 3)
 	for _, g := range clients.Log() {
 		f.Txns++
@@ -95,6 +107,7 @@
 			f.Late++
 		}
 	}
+	f.CPU = float64(cpu.Microseconds()) / float64(max(f.Txns, 1))
 	f.P50, f.P99 = float64(times.ValueAtQuantile(50))/1000, float64(times.ValueAtQuantile(99))/1000
 	for _, s := range w.Stages {
 		f.Stages = append(f.Stages, fmt.Sprintf("%5.1f s  build %d stage %d %s, cap %.0f%%", max(s.At.Sub(began).Seconds(), 0),
@@ -124,6 +137,21 @@
 	return nil
 }
 
+// resident is the memory of a process in MB, as the kernel counts it.
+func resident(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		var kb float64
+		if n, _ := fmt.Sscanf(line, "VmRSS: %f kB", &kb); n == 1 {
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
 // progress shows the day go by, on a terminal.
 func progress(ctx context.Context, length time.Duration, w *tier.World) {
 	if !isatty.IsTerminal(os.Stderr.Fd()) {
@@ -165,6 +193,7 @@
 	for _, s := range f.Stages {
 		fmt.Println(s)
 	}
+	fmt.Printf("memory of the agents %.1f MB, CPU a txn %.0f us\n", f.Resident, f.CPU)
 	t = table.NewWriter()
 	t.SetOutputMirror(os.Stdout)
 	t.AppendHeader(table.Row{"rule", "broken, seen from outside"})
--- a/cmd/rehearse/record.go
+++ b/cmd/rehearse/record.go
@@ -19,6 +19,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -124,8 +125,14 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	sent := make(chan bool)
+	var jump atomic.Bool
 	go func() {
-		clients.Run(ctx, func() float64 { return r.Rate }, r.Seed)
+		clients.Run(ctx, func() float64 {
+			if jump.Load() { // the store stalls in a traffic jump
+				return 2 * r.Rate
+			}
+			return r.Rate
+		}, r.Seed)
 		close(sent)
 	}()
 
@@ -138,7 +145,11 @@
 		return err
 	}
 	f.Stalls++
-	time.Sleep(stalled)
+	time.Sleep(stalled / 3)
+	jump.Store(true)
+	time.Sleep(stalled / 3)
+	jump.Store(false)
+	time.Sleep(stalled / 3)
 	stallTo := time.Now()
 	if err := store.stall(false); err != nil {
 		return err
--- /dev/null
+++ b/internal/httpwire/parts_test.go
@@ -0,0 +1,168 @@
+package httpwire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"onyxgate/internal/core"
+)
+
+// follower is a part that writes down what it is told.
+type follower struct {
+	mu      sync.Mutex
+	said    []string
+	refuses string
+	holds   time.Duration // each answer
+	over    []float64     // ms between the end of a hold and what was allowed
+	core    *core.Core
+}
+
+func (f *follower) Enter(float64) (float64, string) { return 40, f.refuses }
+
+func (f *follower) Answering(e core.Ending, until float64) any {
+	wait := min(f.holds, time.Duration((until-f.core.Now())*1e6))
+	time.Sleep(wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.over = append(f.over, f.core.Now()-until)
+	f.said = append(f.said, fmt.Sprintf("%s %d %s %s %d %d %s", e.Txn, e.Do, e.Reason, e.Appliance, e.Build, e.Submissions, e.Body))
+	return e.Txn
+}
+
+func (f *follower) Answered(kept any, _ float64, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.said = append(f.said, fmt.Sprint(kept, " ", whole))
+}
+
+func (f *follower) Gone(float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.said = append(f.said, "gone")
+}
+
+// A part sees each txn's one end before its first byte, whatever the end, and then whether it went whole.
+func TestParts(t *testing.T) {
+	ok := once("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+	for _, c := range []struct {
+		name    string
+		peer    func(net.Conn)
+		refuses string
+		holds   time.Duration
+		open    int
+		want    string
+		status  int
+	}{
+		{"settled", ok, "", 0, 0, fmt.Sprintf("r1 %d answered s 1 1 body|r1 true", core.Settle), 200},
+		{"settled and held", ok, "", 500 * time.Millisecond, 0, fmt.Sprintf("r1 %d answered s 1 1 body|r1 true", core.Settle), 200},
+		{"held for longer than the client waits", ok, "", time.Hour, 0, fmt.Sprintf("r1 %d answered s 1 1 body|r1 true", core.Settle), 200},
+		{"errored", once("HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n"), "", 0, 0, fmt.Sprintf("r1 %d errored  0 1 |r1 true", core.Decline), 503},
+		{"nobody there", nil, "", 0, 0, fmt.Sprintf("r1 %d unconnected  0 1 |r1 true", core.Decline), 503},
+		{"silence", func(c net.Conn) { io.Copy(io.Discard, c) }, "", 0, 0, fmt.Sprintf("r1 %d late  0 1 |r1 true", core.Decline), 503},
+		{"turned away by a part", ok, "unrecorded", 0, 0, fmt.Sprintf("r1 %d unrecorded  0 0 |r1 true", core.Decline), 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newAgent(network{"app:1": c.peer}, NewSockets(0))
+				f := &follower{refuses: c.refuses, holds: c.holds, core: a.core}
+				a.core.Join(f)
+				a.disc.Take([]byte(told(2, true, `{"id":"s","addr":"app:1","state":"Ready","weight":1,"version_no":1}`)), Watched, func() {})
+				from := time.Now()
+				resp, body := a.ask(t, good)
+				if took := time.Since(from); resp.StatusCode != c.status || took > 2*time.Second {
+					t.Errorf("%d %q after %v", resp.StatusCode, body, took)
+				}
+				synctest.Wait()
+				if got := strings.Join(f.said, "|"); got != c.want {
+					t.Errorf("told %q, want %q", got, c.want)
+				}
+				for _, over := range f.over {
+					if over > 0.01 {
+						t.Errorf("an answer may be held %v ms past its time", over)
+					}
+				}
+				a.close()
+			})
+		})
+	}
+}
+
+// A client that goes before its answer is told as gone, one that goes within it as not whole, a handler that fails is
+// voided, and no room is an answer like any other.
+func TestPartsBadEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		big := strings.Repeat("x", 60000)
+		a := newAgent(network{"app:1": func(c net.Conn) {
+			once("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + big)(c)
+		}}, NewSockets(0))
+		f := &follower{core: a.core}
+		a.core.Join(f)
+		in := make(pipes, 1)
+		server := a.front.Server()
+		served := make(chan bool)
+		go func() { server.Serve(Listener{in, a.front.sockets}); close(served) }()
+		here, there := net.Pipe()
+		in <- there
+		io.WriteString(here, good)
+		r, err := http.ReadResponse(bufio.NewReaderSize(here, 16), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.ReadFull(r.Body, make([]byte, 100))
+		here.Close()
+		synctest.Wait()
+		if len(f.said) != 2 || f.said[1] != "r1 false" {
+			t.Errorf("an answer cut off: %v", f.said)
+		}
+
+		f.said = nil
+		here, there = net.Pipe()
+		in <- there
+		a.front.room = -1 // no room
+		go io.WriteString(here, good)
+		r, err = http.ReadResponse(bufio.NewReader(here), nil)
+		if err != nil || r.StatusCode != 503 {
+			t.Fatal(r, err)
+		}
+		here.Close()
+		synctest.Wait()
+		if len(f.said) != 2 || !strings.Contains(f.said[0], " room ") || f.said[1] != "r1 true" {
+			t.Errorf("no room: %v", f.said)
+		}
+		server.Close()
+		<-served
+		a.close()
+	})
+	synctest.Test(t, func(t *testing.T) {
+		a := newAgent(network{"app:1": func(c net.Conn) { io.Copy(io.Discard, c) }}, NewSockets(0))
+		f := &follower{core: a.core}
+		a.core.Join(f)
+		x := a.core.Take(a.core.Now(), "t", "", "", 0, false, 500, "", nil)
+		x.Next()
+		x.Hangup()
+		if x.Next().Do != core.Leave {
+			t.Error("no end")
+		}
+		x.Close()
+		y := a.core.Take(a.core.Now(), "u", "", "", 0, false, 500, "", nil)
+		y.Fail()
+		y.Answered(true)
+		y.Close()
+		if want := fmt.Sprintf("gone|u %d failed  0 1 |u true", core.Void); strings.Join(f.said, "|") != want {
+			t.Errorf("told %v", f.said)
+		}
+		if n := a.core.Counts(); n.Gone != 1 || n.Voided != 1 {
+			t.Errorf("%+v", n)
+		}
+		time.Sleep(time.Minute)
+		a.close()
+	})
+}
--- a/internal/record/entry.go
+++ b/internal/record/entry.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -129,13 +130,14 @@
 var (
 	magic      = [4]byte{0x0f, 'o', 'x', 0xf1}
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
-	decoding   = func() cbor.DecMode {
+	// Made at the first use: an agent that records nothing pays nothing for it.
+	decoding = sync.OnceValue(func() cbor.DecMode {
 		m, err := cbor.DecOptions{MaxArrayElements: 8192, MaxNestedLevels: 4, MaxMapPairs: 16}.DecMode()
 		if err != nil {
 			panic(err)
 		}
 		return m
-	}()
+	})
 )
 
 // Chained is the chain after a frame with this payload.
@@ -227,7 +229,7 @@
 	if len(payload) == 0 {
 		return nil, ErrSpoilt
 	}
-	read := func(to any) error { return decoding.Unmarshal(payload[1:], to) }
+	read := func(to any) error { return decoding().Unmarshal(payload[1:], to) }
 	switch Kind(payload[0]) {
 	case KindHead:
 		var h Head
--- /dev/null
+++ b/internal/record/helper_test.go
@@ -0,0 +1,71 @@
+package record
+
+// disk is what a ledger's works leave behind, with failures by script, and what a reading of it finds.
+type disk struct {
+	segments [][]byte
+	synced   []int
+	fail     func(w Work) (wrote int, ok bool) // nil: all goes well
+}
+
+// do carries out one work.
+func (d *disk) do(l *Ledger, now float64) bool {
+	w := l.Work(now)
+	if w.Idle() {
+		return false
+	}
+	wrote, ok := len(w.Bytes), true
+	if d.fail != nil {
+		wrote, ok = d.fail(w)
+	}
+	if w.Turn {
+		d.segments, d.synced = append(d.segments, nil), append(d.synced, 0)
+	}
+	last := len(d.segments) - 1
+	d.segments[last] = append(d.segments[last], w.Bytes[:wrote]...)
+	if w.Sync && ok {
+		d.synced[last] = len(d.segments[last])
+	}
+	l.Did(now, wrote, ok)
+	return true
+}
+
+// all works until nothing is left to do now.
+func (d *disk) all(l *Ledger, now float64) {
+	for d.do(l, now) {
+	}
+}
+
+// read folds what is there; synced: only that.
+func (d *disk) read(synced bool) (*Fold, []Row) {
+	f, rows := NewFold(), []Row(nil)
+	for i, s := range d.segments {
+		if synced {
+			s = s[:d.synced[i]]
+		}
+		for len(s) > 0 {
+			x, size, err := ParseFrame(s)
+			if err != nil {
+				f.Tail(int64(len(s)))
+				break
+			}
+			s = s[size:]
+			if Kind(x.Payload[0]) == KindHead {
+				v, _ := Decode(x.Payload)
+				if err := f.Head(*v.(*Head)); err != nil {
+					panic(err)
+				}
+				continue
+			}
+			rows = append(rows, f.Frame(x)...)
+		}
+	}
+	return f, append(rows, f.End()...)
+}
+
+func ledger(sync bool, budget int64, room int, full Full) *Ledger {
+	return NewLedger("n", "i", sync, 0, 4096, 2048, budget, room, 100, 50, full, 0)
+}
+
+func entry(txn string) Entry {
+	return Entry{Txn: txn, Product: "p", Outcome: Settled, Reason: "answered", Appliance: "a", Submissions: 1}
+}
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -45,11 +45,14 @@
 	if agent == "" {
 		return nil, errors.New("record: an agent without a name can't keep one: entries would be nobody's")
 	}
-	var fs spool.FS = spool.Disk{}
-	root := t.Directory
 	if t.Mode == "memory" {
-		fs, root = spool.NewMemory(), "memory"
+		return newOn(spool.NewMemory(), "memory", t, agent, products, now, seed)
 	}
+	return newOn(spool.Disk{}, t.Directory, t, agent, products, now, seed)
+}
+
+func newOn(fs spool.FS, root string, t Table, agent string, products []string, now func() float64, seed uint64) (*Keeper,
+	error) {
 	k := &Keeper{table: t, now: now, products: products, confirmed: make(chan struct{}), bell: make(chan struct{}, 1)}
 	var err error
 	if k.spool, err = spool.Open(fs, root, agent); err != nil {
--- a/internal/record/postgres/postgres.go
+++ b/internal/record/postgres/postgres.go
@@ -5,17 +5,16 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"database/sql"
 	"errors"
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
-	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
-	"github.com/jackc/pgx/v5/stdlib"
 
 	"onyxgate/internal/record"
 	"onyxgate/internal/record/sqlstore"
@@ -34,8 +33,8 @@
 	if !modes[mode] {
 		return nil, fmt.Errorf("tls %q: not one of disable, require, verify-ca, verify-full", mode)
 	}
-	// Parsed with no environment's say in it: what holds is what the settings show.
-	c, err := pgx.ParseConfig(fmt.Sprintf("host=%s port=%s dbname=%s user=%s sslmode=disable connect_timeout=%d "+
+	// What the environment may add to it is overwritten below: what holds is what the settings show.
+	c, err := pgconn.ParseConfig(fmt.Sprintf("host=%s port=%s dbname=%s user=%s sslmode=disable connect_timeout=%d "+
 		"application_name=onyxgate", quote(host), quote(port), quote(database), quote(user), max(int(connect.Seconds()), 1)))
 	if err != nil {
 		return nil, err
@@ -43,34 +42,183 @@
 	if c.TLSConfig, err = secure(host, mode, caFile); err != nil {
 		return nil, err
 	}
-	c.Fallbacks, c.Password = nil, ""
-	// One round trip a statement and nothing prepared at the server, so that a pooler may stand between.
-	c.DefaultQueryExecMode = pgx.QueryExecModeExec
-	db := stdlib.OpenDB(*c, stdlib.OptionBeforeConnect(func(_ context.Context, c *pgx.ConnConfig) error {
+	c.Fallbacks = nil
+	return New(c, func() (string, error) {
 		if passwordFile == "" {
-			return nil
+			return "", nil
 		}
 		text, err := os.ReadFile(passwordFile)
-		if err != nil {
-			return fmt.Errorf("password: %w", err)
-		}
-		c.Password = strings.TrimRight(string(text), "\r\n")
-		return nil
-	}))
-	db.SetMaxOpenConns(2)
-	db.SetMaxIdleConns(1)
-	db.SetConnMaxIdleTime(time.Minute)
-	return New(db), nil
+		return strings.TrimRight(string(text), "\r\n"), err
+	}), nil
 }
 
-// New is a store on an open database of this kind.
-func New(db *sql.DB) *sqlstore.Store {
+// New is a store at a server that a configuration names.
+func New(c *pgconn.Config, password func() (string, error)) *sqlstore.Store {
 	kinds := map[string]string{"text": "text", "big": "bigint", "real": "double precision"}
-	return sqlstore.New(db, sqlstore.Dialect{Name: "postgres", Rows: "jsonb_array_elements($1::jsonb) v",
+	return sqlstore.New(&database{config: c, password: password}, sqlstore.Dialect{Name: "postgres",
+		Rows:  "jsonb_array_elements($1::jsonb) v",
 		Field: func(name, kind string) string { return "(v->>'" + name + "')::" + kinds[kind] },
 		Big:   "bigint", Real: "double precision", Reply: reply})
 }
 
+// database is one connection, made when it is needed; calls wait for each other.
+type database struct {
+	mu       sync.Mutex
+	config   *pgconn.Config
+	password func() (string, error)
+	conn     *pgconn.PgConn
+}
+
+// up is the connection, opened anew where the last one broke. Under the lock.
+func (d *database) up(ctx context.Context) (*pgconn.PgConn, error) {
+	if d.conn != nil && !d.conn.IsClosed() {
+		return d.conn, nil
+	}
+	c := d.config.Copy()
+	var err error
+	if c.Password, err = d.password(); err != nil {
+		return nil, fmt.Errorf("password: %w", err)
+	}
+	d.conn, err = pgconn.ConnectConfig(ctx, c)
+	return d.conn, err
+}
+
+func (d *database) Exec(ctx context.Context, text string, args ...any) (n int64, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c, err := d.up(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return exec(ctx, c, text, args)
+}
+
+func (d *database) Query(ctx context.Context, text string, args []any, each func(func(...any) error) error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c, err := d.up(ctx)
+	if err != nil {
+		return err
+	}
+	return query(ctx, c, text, args, each)
+}
+
+func (d *database) Begin(ctx context.Context) (sqlstore.Tx, error) {
+	d.mu.Lock() // until the transaction ends
+	c, err := d.up(ctx)
+	if err == nil {
+		_, err = exec(ctx, c, "begin", nil)
+	}
+	if err != nil {
+		d.mu.Unlock()
+		return nil, err
+	}
+	return &transaction{d: d, c: c}, nil
+}
+
+func (d *database) Close() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conn == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return d.conn.Close(ctx)
+}
+
+type transaction struct {
+	d    *database
+	c    *pgconn.PgConn
+	over bool
+}
+
+func (t *transaction) Exec(ctx context.Context, text string, args ...any) (int64, error) {
+	return exec(ctx, t.c, text, args)
+}
+
+func (t *transaction) Query(ctx context.Context, text string, args []any, each func(func(...any) error) error) error {
+	return query(ctx, t.c, text, args, each)
+}
+
+func (t *transaction) Commit(ctx context.Context) error {
+	defer t.end()
+	r := t.c.ExecParams(ctx, "commit", nil, nil, nil, nil).Read()
+	if r.Err == nil && r.CommandTag.String() != "COMMIT" { // a transaction that had failed is rolled back
+		return fmt.Errorf("commit: the server says %s", r.CommandTag)
+	}
+	return r.Err
+}
+
+func (t *transaction) Rollback() {
+	if t.over {
+		return
+	}
+	defer t.end()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if _, err := exec(ctx, t.c, "rollback", nil); err != nil { // whatever state it is in, it is not used again
+		t.c.Close(ctx)
+	}
+}
+
+func (t *transaction) end() {
+	t.over = true
+	t.d.mu.Unlock()
+}
+
+// texts are arguments as the protocol's text form has them; the server knows their types.
+func texts(args []any) (out [][]byte) {
+	for _, a := range args {
+		out = append(out, fmt.Append(nil, a))
+	}
+	return out
+}
+
+func exec(ctx context.Context, c *pgconn.PgConn, text string, args []any) (int64, error) {
+	r := c.ExecParams(ctx, text, texts(args), nil, nil, nil).Read()
+	return r.CommandTag.RowsAffected(), r.Err
+}
+
+func query(ctx context.Context, c *pgconn.PgConn, text string, args []any, each func(func(...any) error) error) error {
+	r := c.ExecParams(ctx, text, texts(args), nil, nil, nil)
+	var wrong error
+	for wrong == nil && r.NextRow() {
+		wrong = each(func(to ...any) error { return scan(r.Values(), to) })
+	}
+	if wrong != nil { // what is left unread may be millions of rows
+		c.Conn().Close()
+		r.Close()
+		return wrong
+	}
+	_, err := r.Close()
+	return err
+}
+
+func scan(values [][]byte, to []any) (err error) {
+	if len(values) != len(to) {
+		return fmt.Errorf("%d columns, not %d", len(values), len(to))
+	}
+	for i, v := range values {
+		switch t := to[i].(type) {
+		case *string:
+			*t = string(v)
+		case *int:
+			*t, err = strconv.Atoi(string(v))
+		case *int64:
+			*t, err = strconv.ParseInt(string(v), 10, 64)
+		case *float64:
+			*t, err = strconv.ParseFloat(string(v), 64)
+		default:
+			err = fmt.Errorf("no way to scan into %T", t)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func quote(s string) string {
 	return "'" + strings.NewReplacer(`\`, `\\`, `'`, `\'`).Replace(s) + "'"
 }
--- /dev/null
+++ b/internal/record/spool/bench_test.go
@@ -0,0 +1,67 @@
+package spool
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"onyxgate/internal/record"
+)
+
+// BenchmarkRecover reads what a killed agent left: time and peak heap must be linear and flat. -benchtime 1x is enough.
+func BenchmarkRecover(b *testing.B) {
+	for _, n := range []int{1e5, 1e6, 1e7} {
+		b.Run(fmt.Sprintf("%.0e entries", float64(n)), func(b *testing.B) {
+			root := b.TempDir()
+			s, err := Open(Disk{}, root, "n1")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			w, err := s.Begin()
+			if err != nil {
+				b.Fatal(err)
+			}
+			l := record.NewLedger("n1", w.Incarnation, false, 0, 256<<10, 4<<20, 1<<40, 8<<20, 100, 50, record.KeepServing, 0)
+			for i := range n {
+				o, _ := l.Answer(float64(i), record.Entry{Txn: fmt.Sprintf("%016x", i), Product: "page-preview",
+					Outcome: record.Settled, Reason: "answered", Build: 41, Appliance: "s-5be2a07c", Submissions: 1,
+					Taken: 1.7e12 + float64(i), Answered: 1.7e12 + float64(i), Body: record.Digest{1}})
+				l.Done(float64(i), o, true)
+				if i%500 == 499 {
+					for x := l.Work(float64(i)); !x.Idle(); x = l.Work(float64(i)) {
+						wrote, err := w.Do(x)
+						if l.Did(float64(i), wrote, err == nil); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+			}
+			w.Close()
+			b.ResetTimer()
+			peak, most := uint64(0), 0
+			for range b.N {
+				r, rows := s.Read(w.Incarnation, true), 0
+				for k, more := 0, true; more; k++ {
+					var got []record.Row
+					if got, more, err = r.Next(); err != nil {
+						b.Fatal(err)
+					}
+					rows += len(got)
+					most = max(most, r.Fold.OpenNow())
+					if k%64 == 0 {
+						var m runtime.MemStats
+						runtime.ReadMemStats(&m)
+						peak = max(peak, m.HeapInuse)
+					}
+				}
+				if rows < n-1000 || len(r.Fold.Defects) > 0 {
+					b.Fatal(rows, r.Fold.Defects)
+				}
+			}
+			b.ReportMetric(float64(s.Used())/float64(n), "bytes/entry")
+			b.ReportMetric(float64(peak)/(1<<20), "peak-MiB")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/entry")
+		})
+	}
+}
--- /dev/null
+++ b/internal/record/spool/spool_test.go
@@ -0,0 +1,405 @@
+package spool
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"onyxgate/internal/record"
+)
+
+var errDisk = errors.New("no space left")
+
+// life writes n entries, each with its end but the last, and leaves the spool as a kill would. It returns the ordinals
+// that were durable before their answer, by txn.
+func life(t *testing.T, m *Memory, name string, n int) (incarnation string, durable map[string]bool) {
+	t.Helper()
+	s, err := Open(m, "root", "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w, err := s.Begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := record.NewLedger("n1", w.Incarnation, true, 0, 4096, 2048, 1<<20, 1<<18, 100, 50, record.KeepServing, s.Used())
+	durable = map[string]bool{}
+	now := 0.0
+	work := func() {
+		for {
+			x := l.Work(now)
+			if x.Idle() {
+				return
+			}
+			wrote, err := w.Do(x)
+			l.Did(now, wrote, err == nil)
+		}
+	}
+	ordinals := map[string]uint64{}
+	for i := range n {
+		txn := fmt.Sprint(name, i)
+		ordinals[txn], _ = l.Answer(now, record.Entry{Txn: txn, Outcome: record.Settled})
+		for range 30 { // pauses after failures pass
+			work()
+			now += 100
+		}
+		if l.Confirmed() >= ordinals[txn] {
+			durable[txn] = true
+		}
+		if i < n-1 {
+			l.Done(now, ordinals[txn], true)
+		}
+	}
+	for range 5 {
+		work()
+		now += 300
+	}
+	for txn, o := range ordinals {
+		if l.Confirmed() >= o {
+			durable[txn] = true
+		}
+	}
+	return w.Incarnation, durable
+}
+
+// all reads an incarnation that nobody writes.
+func all(t *testing.T, m *Memory, incarnation string) (*Reader, map[string]record.State) {
+	t.Helper()
+	r := View(m, "root", "n1").Read(incarnation, true)
+	got := map[string]record.State{}
+	for more := true; more; {
+		var rows []record.Row
+		var err error
+		if rows, more, err = r.Next(); err != nil {
+			t.Fatal(err)
+		}
+		for _, row := range rows {
+			if _, twice := got[row.Entry.Txn]; twice && row.Gap == nil {
+				t.Errorf("%s twice", row.Entry.Txn)
+			}
+			got[row.Entry.Txn] = row.State
+		}
+	}
+	return r, got
+}
+
+// Whatever fails at whichever moment, and however the power goes, what was durable is read once and nothing else claims
+// an end.
+func TestFaults(t *testing.T) {
+	for _, op := range []string{"none", "create", "write", "sync", "syncdir"} {
+		for every := 2; every <= 5; every++ {
+			t.Run(fmt.Sprint(op, every), func(t *testing.T) {
+				m, k := NewMemory(), 0
+				m.Fail = func(o, name string, bytes int) (int, error) {
+					if o == op && strings.HasSuffix(name, suffix) || o == op && o == "syncdir" && strings.Count(name, "/") == 2 && k > 1 {
+						if k++; k%every == 0 {
+							return bytes / 2, errDisk
+						}
+					}
+					return bytes, nil
+				}
+				id, durable := life(t, m, "x", 40)
+				m.Fail = nil
+				m.Crash(11) // 11 bytes of what no sync confirmed got to the disk
+				r, got := all(t, m, id)
+				if len(r.Fold.Defects) > 0 {
+					t.Fatal(r.Fold.Defects)
+				}
+				if len(durable) != 40 {
+					t.Errorf("%d durable", len(durable))
+				}
+				for i := range 40 {
+					txn, want := fmt.Sprint("x", i), record.Given
+					if i == 39 {
+						want = record.InDoubt
+					}
+					if state, ok := got[txn]; !ok || state != want {
+						t.Errorf("%s: %v %v, want %v", txn, ok, state, want)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A kill within any of the operations of a life leaves a spool that the next life takes over, and a kill within that
+// as well.
+func TestKillAnywhere(t *testing.T) {
+	type killed struct{}
+	attempt := func(f func()) (died bool) {
+		defer func() {
+			if x := recover(); x != nil {
+				if _, ok := x.(killed); !ok {
+					panic(x)
+				}
+				died = true
+			}
+		}()
+		f()
+		return false
+	}
+	for at := 0; ; at++ {
+		m, k := NewMemory(), 0
+		confirmed := map[string]bool{}
+		m.Fail = func(op, name string, bytes int) (int, error) {
+			if k++; k-1 == at {
+				panic(killed{})
+			}
+			return bytes, nil
+		}
+		died := attempt(func() {
+			_, durable := life(t, m, "x", 12)
+			for txn := range durable {
+				confirmed[txn] = true
+			}
+		})
+		m.Fail = nil
+		m.Crash(at % 50)
+		s, err := Open(m, "root", "n1")
+		if err != nil {
+			t.Fatalf("killed at operation %d: %v", at, err)
+		}
+		found := map[string]bool{}
+		for _, id := range s.Incarnations() {
+			r, got := all(t, m, id)
+			if len(r.Fold.Defects) > 0 {
+				t.Fatalf("killed at operation %d: %v", at, r.Fold.Defects)
+			}
+			for txn := range got {
+				found[txn] = true
+			}
+			// The second kill: in dropping what has been shipped.
+			removed := 0
+			m.Fail = func(op, _ string, bytes int) (int, error) {
+				if op == "remove" {
+					if removed++; removed == 1+at%3 {
+						panic(killed{})
+					}
+				}
+				return bytes, nil
+			}
+			attempt(func() { s.Drop(id) })
+			m.Fail = nil
+		}
+		for txn := range confirmed {
+			if !found[txn] {
+				t.Errorf("killed at operation %d: %s is gone", at, txn)
+			}
+		}
+		m.Crash(0)
+		if s, err = Open(m, "root", "n1"); err != nil {
+			t.Fatalf("killed at operation %d and again: %v", at, err)
+		}
+		if _, err := s.Begin(); err != nil {
+			t.Fatal(err)
+		}
+		if !died {
+			if at < 20 {
+				t.Fatalf("only %d operations", at)
+			}
+			return
+		}
+	}
+}
+
+// Bytes that change in an old segment are told, and all else is read.
+func TestEdits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		edit func([]byte) []byte
+		kind string
+		most int // entries lost
+	}{
+		{"a bit flipped", func(b []byte) []byte { b[len(b)/2] ^= 4; return b }, "spoilt", 1},
+		{"zeros in the middle", func(b []byte) []byte { clear(b[500:900]); return b }, "spoilt", 4},
+		{"bytes taken out", func(b []byte) []byte { return append(b[:600:600], b[640:]...) }, "spoilt", 2},
+		{"noise put in", func(b []byte) []byte {
+			return append(append(b[:600:600], "\x0fox\xf1\xff\xff\x00\x00 noise"...), b[600:]...)
+		}, "spoilt", 2},
+		{"the end cut off", func(b []byte) []byte { return b[:len(b)-300] }, "spoilt", 3},
+		{"all gone", func(b []byte) []byte { return nil }, "hole", 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := NewMemory()
+			id, _ := life(t, m, "x", 60)
+			if err := m.Edit(join("root", "n1", id, segmentName(2)), c.edit); err != nil {
+				t.Fatal(err)
+			}
+			r, got := all(t, m, id)
+			if len(r.Fold.Defects) == 0 || r.Fold.Defects[0].Kind != c.kind {
+				t.Errorf("%v, want %s first", r.Fold.Defects, c.kind)
+			}
+			in := 0
+			for txn := range got {
+				if txn != "" {
+					in++
+				}
+			}
+			if in < 60-c.most || in == 60 && c.kind != "spoilt" {
+				t.Errorf("%d entries of 60", in)
+			}
+		})
+	}
+}
+
+// A tail of zeros, of noise, or of a later frame without the one before is cut and told as torn, not as a hole in what
+// was durable.
+func TestTails(t *testing.T) {
+	for _, tail := range []string{"\x00\x00\x00\x00\x00\x00", "\x0fox\xf1", strings.Repeat("noise", 99), "\x0fox\xf1\x04\x00\x00\x00aaaa"} {
+		m := NewMemory()
+		id, _ := life(t, m, "x", 5)
+		numbers, _ := segments(m, join("root", "n1", id))
+		m.Edit(join("root", "n1", id, segmentName(numbers[len(numbers)-1])),
+			func(b []byte) []byte { return append(b, tail...) })
+		r, got := all(t, m, id)
+		if len(r.Fold.Defects) > 0 || r.Fold.Torn != int64(len(tail)) || len(got) != 5 {
+			t.Errorf("%q: %v, %d torn, %d entries", tail, r.Fold.Defects, r.Fold.Torn, len(got))
+		}
+	}
+}
+
+// A reader that follows a writer gets each row once, over turns of segments and prunes.
+func TestFollow(t *testing.T) {
+	m := NewMemory()
+	s, _ := Open(m, "root", "n1")
+	w, err := s.Begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := record.NewLedger("n1", w.Incarnation, true, 0, 4096, 2048, 1<<20, 1<<18, 100, 50, record.KeepServing, 0)
+	r := s.Read(w.Incarnation, false)
+	now, read, freed := 0.0, 0, int64(0)
+	for i := range 200 {
+		n, _ := l.Answer(now, record.Entry{Txn: fmt.Sprint(i)})
+		for x := l.Work(now); !x.Idle(); x = l.Work(now) {
+			wrote, err := w.Do(x)
+			l.Did(now, wrote, err == nil)
+		}
+		l.Done(now, n, true)
+		now += 300
+		if i%7 == 0 {
+			for more := true; more; {
+				var rows []record.Row
+				if rows, more, err = r.Next(); err != nil {
+					t.Fatal(err)
+				}
+				for _, row := range rows {
+					if row.Entry.Txn != fmt.Sprint(read) {
+						t.Fatalf("%s after %d", row.Entry.Txn, read-1)
+					}
+					read++
+				}
+			}
+			n, err := s.Prune(w.Incarnation, min(l.Segment(), r.Segment()), r.Fold.Through())
+			if freed += n; err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if read < 190 || freed == 0 || len(r.Fold.Defects) > 0 {
+		t.Errorf("%d read, %d bytes freed, %v", read, freed, r.Fold.Defects)
+	}
+}
+
+// On the machine's own file system: one process at a time, and a copied directory is refused until it is adopted.
+func TestDisk(t *testing.T) {
+	root := t.TempDir()
+	s, err := Open(Disk{}, root, "a/b c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(Disk{}, root, "a/b c"); !errors.Is(err, ErrLocked) {
+		t.Errorf("a second process gets in: %v", err)
+	}
+	w, err := s.Begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := record.NewLedger("a/b c", w.Incarnation, true, 0, 4096, 2048, 1<<20, 1<<18, 100, 50, record.KeepServing, 0)
+	l.Answer(1, record.Entry{Txn: "x"})
+	x := l.Work(1)
+	if wrote, err := w.Do(x); err != nil || wrote != len(x.Bytes) || s.Used() != int64(wrote) {
+		t.Fatalf("%d of %d bytes, %d used, %v", wrote, len(x.Bytes), s.Used(), err)
+	}
+	w.Close()
+	s.Close()
+	if agents, err := Agents(Disk{}, root); err != nil || len(agents) != 1 || agents[0] != "a/b c" {
+		t.Errorf("%v %v", agents, err)
+	}
+
+	copied := t.TempDir()
+	from, to := join(root, "a%2Fb%20c", w.Incarnation), join(copied, "a%2Fb%20c", w.Incarnation)
+	if err := (Disk{}).MkdirAll(to); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{ownerName, segmentName(1)} {
+		in, _ := Disk{}.Open(join(from, name))
+		b := make([]byte, 4096)
+		n, _ := in.ReadAt(b, 0)
+		out, err := Disk{}.Create(join(to, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		out.Write(b[:n])
+		out.Close()
+	}
+	if _, err := Open(Disk{}, copied, "a/b c"); !errors.Is(err, ErrCopied) || !strings.Contains(err.Error(), "adopt") {
+		t.Errorf("a copied directory: %v", err)
+	}
+	if adopted, err := Adopt(Disk{}, copied, "a/b c"); err != nil || len(adopted) != 1 {
+		t.Errorf("adopted %v, %v", adopted, err)
+	}
+	s, err = Open(Disk{}, copied, "a/b c")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	r := s.Read(w.Incarnation, true)
+	rows, _, err := r.Next()
+	if err != nil || len(rows) != 1 || rows[0].State != record.InDoubt {
+		t.Errorf("%v %v", rows, err)
+	}
+	if freed, err := s.Drop(w.Incarnation); err != nil || freed == 0 || len(s.Incarnations()) != 0 {
+		t.Errorf("%d freed, %v, %v left", freed, err, s.Incarnations())
+	}
+}
+
+// Whatever stands in a segment, reading it ends, keeps to what is there and claims no end that it has not read.
+func FuzzReader(f *testing.F) {
+	m := NewMemory()
+	l := record.NewLedger("n1", "i", true, 0, 4096, 2048, 1<<20, 1<<18, 100, 50, record.KeepServing, 0)
+	n, _ := l.Answer(1, record.Entry{Txn: "x"})
+	w := l.Work(1)
+	l.Did(1, len(w.Bytes), true)
+	l.Done(2, n, true)
+	whole := append(w.Bytes, l.Work(300).Bytes...)
+	f.Add(whole, whole[:20])
+	f.Add(whole[:len(whole)-5], []byte("\x0fox\xf1"))
+	f.Add([]byte{}, whole)
+	f.Fuzz(func(t *testing.T, one, two []byte) {
+		m = NewMemory()
+		for i, b := range [][]byte{one, two} {
+			file, _ := m.Create(join("root", "n1", "i", segmentName(uint64(i+1))))
+			file.Write(b)
+		}
+		r, ends := View(m, "root", "n1").Read("i", true), 0
+		for k := 0; ; k++ {
+			rows, more, err := r.Next()
+			for _, row := range rows {
+				if row.State == record.Given {
+					ends++
+				}
+			}
+			if err != nil || !more {
+				break
+			}
+			if k > 100 {
+				t.Fatal("reading does not end")
+			}
+		}
+		if ends > len(one)+len(two) || r.Fold.OpenNow() > len(one)+len(two) {
+			t.Fatalf("%d ends and %d open in %d bytes", ends, r.Fold.OpenNow(), len(one)+len(two))
+		}
+	})
+}
--- a/internal/record/sqlite/sqlite.go
+++ b/internal/record/sqlite/sqlite.go
@@ -2,6 +2,7 @@
 package sqlite
 
 import (
+	"context"
 	"database/sql"
 	"errors"
 	"fmt"
@@ -24,11 +25,64 @@
 	}
 	db.SetMaxOpenConns(2) // each has a cache of its own
 	db.SetMaxIdleConns(1)
-	return sqlstore.New(db, sqlstore.Dialect{Name: "sqlite", Rows: "json_each($1) v",
+	return sqlstore.New(database{runner{db}, db}, sqlstore.Dialect{Name: "sqlite", Rows: "json_each($1) v",
 		Field: func(name, kind string) string { return "json_extract(v.value, '$." + name + "')" },
 		Big:   "integer", Real: "real", Reply: reply, Checkpoint: "pragma wal_checkpoint(truncate)"}), nil
 }
 
+// runner and those below carry database/sql over to what a store needs.
+type runner struct {
+	on interface {
+		ExecContext(ctx context.Context, text string, args ...any) (sql.Result, error)
+		QueryContext(ctx context.Context, text string, args ...any) (*sql.Rows, error)
+	}
+}
+
+func (r runner) Exec(ctx context.Context, text string, args ...any) (int64, error) {
+	done, err := r.on.ExecContext(ctx, text, args...)
+	if err != nil {
+		return 0, err
+	}
+	return done.RowsAffected()
+}
+
+func (r runner) Query(ctx context.Context, text string, args []any, each func(scan func(...any) error) error) error {
+	rows, err := r.on.QueryContext(ctx, text, args...)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		if err := each(rows.Scan); err != nil {
+			return err
+		}
+	}
+	return rows.Err()
+}
+
+type database struct {
+	runner
+	db *sql.DB
+}
+
+func (d database) Begin(ctx context.Context) (sqlstore.Tx, error) {
+	tx, err := d.db.BeginTx(ctx, nil)
+	if err != nil {
+		return nil, err
+	}
+	return transaction{runner{tx}, tx}, nil
+}
+
+func (d database) Close() error { return d.db.Close() }
+
+type transaction struct {
+	runner
+	tx *sql.Tx
+}
+
+func (t transaction) Commit(context.Context) error { return t.tx.Commit() }
+func (t transaction) Rollback()                    { t.tx.Rollback() }
+
 // Primary result codes, as published.
 const (
 	codeError                                                                                             = 1
--- a/internal/record/sqlstore/sqlstore.go
+++ b/internal/record/sqlstore/sqlstore.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"database/sql"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -30,14 +29,44 @@
 	Checkpoint string
 }
 
+// Runner runs statements; arguments and columns are strings, ints, int64s and float64s.
+type Runner interface {
+	Exec(ctx context.Context, text string, args ...any) (affected int64, err error)
+	// Query calls each with a way to scan the row, one row in memory at a time; an error of each ends it.
+	Query(ctx context.Context, text string, args []any, each func(scan func(...any) error) error) error
+}
+
+// Tx is a transaction; Rollback after Commit does nothing.
+type Tx interface {
+	Runner
+	Commit(ctx context.Context) error
+	Rollback()
+}
+
+// DB is an open database. Behind database/sql all of pgx would be linked in, 1.4 MB of every agent's memory.
+type DB interface {
+	Runner
+	Begin(ctx context.Context) (Tx, error)
+	Close() error
+}
+
 // Store is one.
 type Store struct {
-	db *sql.DB
+	db DB
 	d  Dialect
 }
 
 // New makes a store on an open database.
-func New(db *sql.DB, d Dialect) *Store { return &Store{db, d} }
+func New(db DB, d Dialect) *Store { return &Store{db, d} }
+
+// one scans the only row of an answer and tells whether there is one.
+func one(ctx context.Context, r Runner, text string, args []any, to ...any) (found bool, err error) {
+	err = r.Query(ctx, text, args, func(scan func(...any) error) error {
+		found = true
+		return scan(to...)
+	})
+	return found, err
+}
 
 // Each statement begins with its name, by which operators find it in their store's own views.
 const (
@@ -85,7 +114,7 @@
 
 // Migrate brings the schema up to date, each step in a transaction of its own. A schema newer than the program is an error.
 func (s *Store) Migrate(ctx context.Context) error {
-	if _, err := s.db.ExecContext(ctx, NameMigrate+versions); err != nil {
+	if _, err := s.db.Exec(ctx, NameMigrate+versions); err != nil {
 		return fmt.Errorf("schema: %w", err)
 	}
 	steps := s.migrations()
@@ -98,13 +127,13 @@
 }
 
 func (s *Store) step(ctx context.Context, version int, statements []string, newest int) error {
-	tx, err := s.db.BeginTx(ctx, nil)
+	tx, err := s.db.Begin(ctx)
 	if err != nil {
 		return err
 	}
 	defer tx.Rollback()
 	var has int
-	if err := tx.QueryRowContext(ctx, NameVersion+"select coalesce(max(version), 0) from onyxgate_schema").Scan(&has); err != nil {
+	if _, err := one(ctx, tx, NameVersion+"select coalesce(max(version), 0) from onyxgate_schema", nil, &has); err != nil {
 		return err
 	}
 	switch {
@@ -114,16 +143,16 @@
 		return nil
 	}
 	// First, so that of two that migrate at once one waits for the other and then finds its own number taken.
-	if _, err := tx.ExecContext(ctx, NameMigrate+"insert into onyxgate_schema (version, applied_ms) values ($1, $2)",
+	if _, err := tx.Exec(ctx, NameMigrate+"insert into onyxgate_schema (version, applied_ms) values ($1, $2)",
 		version, time.Now().UnixMilli()); err != nil {
 		return fmt.Errorf("schema version %d: %w", version, err)
 	}
 	for _, statement := range statements {
-		if _, err := tx.ExecContext(ctx, NameMigrate+statement); err != nil {
+		if _, err := tx.Exec(ctx, NameMigrate+statement); err != nil {
 			return fmt.Errorf("schema version %d: %w", version, err)
 		}
 	}
-	return tx.Commit()
+	return tx.Commit(ctx)
 }
 
 // Row is a row of the store: an entry with what it belongs to, or a gap.
@@ -211,25 +240,25 @@
 		entries = append(entries, Row{b.Agent, b.Incarnation, e.N, r.State.String(), e.Txn, e.Product, e.Outcome.String(),
 			e.Reason, e.Build, e.Appliance, e.Submissions, e.Taken, e.Answered, digest(e.Body), digest(e.Mark)})
 	}
-	tx, err := s.db.BeginTx(ctx, nil)
+	tx, err := s.db.Begin(ctx)
 	if err != nil {
 		return 0, err
 	}
 	defer tx.Rollback()
 	points.At("ship.begun")
 	// The claim locks the incarnation's row, so that of two shippers one waits.
-	if _, err := tx.ExecContext(ctx, NameClaim+`insert into onyxgate_incarnation (incarnation, agent, place, through, closed)
+	if _, err := tx.Exec(ctx, NameClaim+`insert into onyxgate_incarnation (incarnation, agent, place, through, closed)
 		values ($1, $2, $3, 0, 0) on conflict do nothing`, b.Incarnation, b.Agent, b.Place); err != nil {
 		return 0, err
 	}
-	if _, err := tx.ExecContext(ctx, NameThrough+`update onyxgate_incarnation set
+	if _, err := tx.Exec(ctx, NameThrough+`update onyxgate_incarnation set
 		through = case when through < $1 then $2 else through end, closed = case when closed < $3 then $4 else closed end
-		where incarnation = $5`, int64(b.Through), int64(b.Through), one(b.Closed), one(b.Closed), b.Incarnation); err != nil {
+		where incarnation = $5`, int64(b.Through), int64(b.Through), bit(b.Closed), bit(b.Closed), b.Incarnation); err != nil {
 		return 0, err
 	}
 	var place string
-	if err := tx.QueryRowContext(ctx, NameOwner+`select place from onyxgate_incarnation where incarnation = $1`,
-		b.Incarnation).Scan(&place); err != nil {
+	if _, err := one(ctx, tx, NameOwner+`select place from onyxgate_incarnation where incarnation = $1`,
+		[]any{b.Incarnation}, &place); err != nil {
 		return 0, err
 	}
 	if place != b.Place {
@@ -250,19 +279,19 @@
 			return 0, err
 		}
 		bytes += len(text)
-		if _, err := tx.ExecContext(ctx, s.insert(part.name, part.table, part.fields), string(text)); err != nil {
+		if _, err := tx.Exec(ctx, s.insert(part.name, part.table, part.fields), string(text)); err != nil {
 			return 0, err
 		}
 	}
 	points.At("ship.commit")
-	if err := tx.Commit(); err != nil {
+	if err := tx.Commit(ctx); err != nil {
 		return 0, err
 	}
 	points.At("ship.committed")
 	return bytes, nil
 }
 
-func one(b bool) int64 {
+func bit(b bool) int64 {
 	if b {
 		return 1
 	}
@@ -285,11 +314,8 @@
 // Through is how far an incarnation is stored, and whether it is closed.
 func (s *Store) Through(ctx context.Context, incarnation string) (through uint64, closed bool, err error) {
 	var t, c int64
-	err = s.db.QueryRowContext(ctx, NameOwner+`select through, closed from onyxgate_incarnation where incarnation = $1`,
-		incarnation).Scan(&t, &c)
-	if errors.Is(err, sql.ErrNoRows) {
-		return 0, false, nil
-	}
+	_, err = one(ctx, s.db, NameOwner+`select through, closed from onyxgate_incarnation where incarnation = $1`,
+		[]any{incarnation}, &t, &c)
 	return uint64(t), c != 0, err
 }
 
@@ -329,24 +355,16 @@
 	if f.Limit > 0 {
 		text += fmt.Sprintf(" limit %d", f.Limit)
 	}
-	rows, err := s.db.QueryContext(ctx, text, args...)
-	if err != nil {
-		return err
-	}
-	defer rows.Close()
-	for rows.Next() {
+	return s.db.Query(ctx, text, args, func(scan func(...any) error) error {
 		var r Row
 		var n int64
-		if err := rows.Scan(&r.Agent, &r.Incarnation, &n, &r.State, &r.Txn, &r.Product, &r.Outcome, &r.Reason, &r.Build,
+		if err := scan(&r.Agent, &r.Incarnation, &n, &r.State, &r.Txn, &r.Product, &r.Outcome, &r.Reason, &r.Build,
 			&r.Appliance, &r.Submissions, &r.Taken, &r.Answered, &r.Body, &r.Mark); err != nil {
 			return err
 		}
 		r.N = uint64(n)
-		if err := each(r); err != nil {
-			return err
-		}
-	}
-	return rows.Err()
+		return each(r)
+	})
 }
 
 // Gaps calls each with the gaps of an agent, or of all.
@@ -356,63 +374,45 @@
 	if agent != "" {
 		text, args = text+" where agent = $1", append(args, agent)
 	}
-	rows, err := s.db.QueryContext(ctx, text+" order by from_ms", args...)
-	if err != nil {
-		return err
-	}
-	defer rows.Close()
-	for rows.Next() {
+	return s.db.Query(ctx, text+" order by from_ms", args, func(scan func(...any) error) error {
 		var g GapRow
-		var n int64
-		if err := rows.Scan(&g.Agent, &g.Incarnation, &n, &g.Settled, &g.Declined, &g.Voided, &g.Unknown, &g.From, &g.To,
+		var n, settled, declined, voided, unknown int64
+		if err := scan(&g.Agent, &g.Incarnation, &n, &settled, &declined, &voided, &unknown, &g.From, &g.To,
 			&g.Cause); err != nil {
 			return err
 		}
-		g.N = uint64(n)
-		if err := each(g); err != nil {
-			return err
-		}
-	}
-	return rows.Err()
+		g.N, g.Settled, g.Declined, g.Voided, g.Unknown = uint64(n), uint64(settled), uint64(declined), uint64(voided),
+			uint64(unknown)
+		return each(g)
+	})
 }
 
 // Count calls each with how many entries there are by agent, product, outcome and state.
 func (s *Store) Count(ctx context.Context, f Filter, each func(agent, product, outcome, state string, n int64) error) error {
 	where, args := f.where()
-	rows, err := s.db.QueryContext(ctx, NameCount+`select agent, product, outcome, state, count(*) from onyxgate_entry`+where+
-		` group by agent, product, outcome, state order by agent, product, outcome, state`, args...)
-	if err != nil {
-		return err
-	}
-	defer rows.Close()
-	for rows.Next() {
-		var agent, product, outcome, state string
-		var n int64
-		if err := rows.Scan(&agent, &product, &outcome, &state, &n); err != nil {
-			return err
-		}
-		if err := each(agent, product, outcome, state, n); err != nil {
-			return err
-		}
-	}
-	return rows.Err()
+	return s.db.Query(ctx, NameCount+`select agent, product, outcome, state, count(*) from onyxgate_entry`+where+
+		` group by agent, product, outcome, state order by agent, product, outcome, state`, args,
+		func(scan func(...any) error) error {
+			var agent, product, outcome, state string
+			var n int64
+			if err := scan(&agent, &product, &outcome, &state, &n); err != nil {
+				return err
+			}
+			return each(agent, product, outcome, state, n)
+		})
 }
 
 // Repeats counts the ordinals that stand more than once: none, unless somebody took the key away.
 func (s *Store) Repeats(ctx context.Context) (n int64, err error) {
-	err = s.db.QueryRowContext(ctx, NameCount+`select count(*) from (select 1 from onyxgate_entry group by incarnation, n
-		having count(*) > 1) repeats`).Scan(&n)
+	_, err = one(ctx, s.db, NameCount+`select count(*) from (select 1 from onyxgate_entry group by incarnation, n
+		having count(*) > 1) repeats`, nil, &n)
 	return n, err
 }
 
 // Prune removes entries answered before a time (ms), `most` at the most, and returns how many.
 func (s *Store) Prune(ctx context.Context, before float64, most int) (int64, error) {
-	done, err := s.db.ExecContext(ctx, NamePrune+`delete from onyxgate_entry where (incarnation, n) in (select incarnation, n
+	return s.db.Exec(ctx, NamePrune+`delete from onyxgate_entry where (incarnation, n) in (select incarnation, n
 		from onyxgate_entry where answered_ms < $1 limit $2)`, before, most)
-	if err != nil {
-		return 0, err
-	}
-	return done.RowsAffected()
 }
 
 // Checkpoint does the store's own upkeep, if it has any.
@@ -420,7 +420,7 @@
 	if s.d.Checkpoint == "" {
 		return nil
 	}
-	_, err := s.db.ExecContext(ctx, s.d.Checkpoint)
+	_, err := s.db.Exec(ctx, s.d.Checkpoint)
 	return err
 }
 
@@ -430,12 +430,12 @@
 // Hold keeps a transaction open while something runs, and rolls it back: with the store's write lock in it, others stand
 // still meanwhile.
 func (s *Store) Hold(ctx context.Context, while func()) error {
-	tx, err := s.db.BeginTx(ctx, nil)
+	tx, err := s.db.Begin(ctx)
 	if err != nil {
 		return err
 	}
 	defer tx.Rollback()
-	if _, err := tx.ExecContext(ctx, NameClaim+`update onyxgate_incarnation set through = through where incarnation = ''`); err != nil {
+	if _, err := tx.Exec(ctx, NameClaim+`update onyxgate_incarnation set through = through where incarnation = ''`); err != nil {
 		return err
 	}
 	while()
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// Whatever is wrong is told with file, line, key, value and a right example.
+func TestWrong(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"an unknown key", "[record]\n\nmode = \"off\"\ndirektory = \"x\"\n", "f.toml:4: record.direktory: no such key; write one of mode, directory"},
+		{"an unknown table", "[metric]\nlisten = \"x\"\n", "f.toml:1: metric: no such key; write one of [record]"},
+		{"an unknown key below", "[record.store]\nkey = 1\n", "f.toml:2: record.store.key: no such key; write one of kind, path"},
+		{"a size that is none", "[record]\nbudget = \"12 potatoes\"\n", "f.toml:2:10: budget = \"12 potatoes\": \"12 potatoes\" is not a size; write 64MiB"},
+		{"a size without unit", "[record]\nbudget = \"1000\"\n", "is not a size; write 64MiB"},
+		{"a bare number for a size", "[record]\nbudget = 1000\n", "f.toml:2: record.budget = 1000: no unit; write budget ="},
+		{"a bare number for a span", "# x\n[record]\npatience = 5\n", "f.toml:3: record.patience = 5: no unit"},
+		{"a span that is none", "[record]\npatience = \"soon\"\n", "f.toml:2:12: patience = \"soon\": \"soon\" is not a duration; write 250ms"},
+		{"a negative span", "[record]\npatience = \"-1s\"\n", "is not a duration"},
+		{"a word of none", "[record]\nmode = \"disk\"\n", "f.toml:2: record.mode = \"disk\": not one of [spool memory off]; write mode = \"spool\""},
+		{"a spool nowhere", "[record]\nmode = \"spool\"\n", "f.toml: record.directory = \"\": needed by mode"},
+		{"a budget below its segments", "[record]\nmode = \"spool\"\ndirectory = \"d\"\nbudget = \"1MiB\"\n", "f.toml:4: record.budget = \"1.0 MiB\": less than four segments of 4.0 MiB; write budget = \"16 MiB\""},
+		{"memory without a store", "[record]\nmode = \"memory\"\n", "record.store.kind = \"none\": mode = \"memory\" keeps nothing"},
+		{"a store nowhere", "[record]\nmode = \"spool\"\ndirectory = \"d\"\n[record.store]\nkind = \"sqlite\"\n", "record.store.path = \"\": needed by kind"},
+		{"a server nowhere", "[record]\nmode = \"memory\"\n[record.store]\nkind = \"postgres\"\naddress = \"db\"\n", "f.toml:5: record.store.address = \"db\""},
+		{"a server without a user", "[record]\nmode = \"memory\"\n[record.store]\nkind = \"postgres\"\naddress = \"db:1\"\n", "needs database and user"},
+		{"a password that is not there", "[record]\nmode = \"memory\"\n[record.store]\nkind = \"postgres\"\naddress = \"db:1\"\ndatabase = \"d\"\nuser = \"u\"\npassword_file = \"/no/such\"\n", "f.toml:8: record.store.password_file"},
+		{"patience below the group's wait", "[record]\nmode = \"spool\"\ndirectory = \"d\"\ngroup_wait = \"1s\"\n", "record.patience = \"250ms\": no longer than group_wait"},
+		{"metrics nowhere", "[metrics]\nlisten = \"here\"\n", "f.toml:2: metrics.listen = \"here\""},
+		{"no TOML", "[record\n", "f.toml:1:"},
+		{"another type", "[record]\nmode = 3\n", "f.toml:2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse("f.toml", []byte(c.text))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("%v\nwant %s", err, c.want)
+			}
+		})
+	}
+}
+
+// What is shown is what holds, and reads back as the same.
+func TestShow(t *testing.T) {
+	for _, text := range []string{"", "[record]\nmode = \"spool\"\ndirectory = \"d\"\nbudget = \"64MiB\"\npatience = \"1.5s\"\n"} {
+		tables, err := Parse("f.toml", []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		shown, err := Show(tables)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Parse("g.toml", []byte(shown))
+		if err != nil || again != tables {
+			t.Errorf("%v: %+v, not %+v", err, again, tables)
+		}
+	}
+	if tables, err := Read(""); err != nil || tables.Record.On() || tables.Metrics.Listen != "" {
+		t.Errorf("without a file %+v, %v", tables, err)
+	}
+	if _, err := Read("/no/such/file"); err == nil {
+		t.Error("a file that is not there is read")
+	}
+}
+
+// The file that is delivered holds every key, with what holds anyway.
+func TestDelivered(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/onyxgate.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables, err := Parse("onyxgate.toml", text)
+	if err != nil || tables != Default() {
+		t.Errorf("%+v, %v", tables, err)
+	}
+	for _, key := range keys() {
+		if last := key[strings.LastIndexByte(key, '.')+1:]; !strings.Contains(string(text), last+" = ") {
+			t.Errorf("%s is missing", key)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[record]\nmode = \"spool\"\nbudget = \"1MiB\"\n"))
+	f.Add([]byte("record.store = { kind = \"sqlite\" }\n"))
+	f.Add([]byte("[[record]]\nx = [1, {a = 2}]\n"))
+	f.Add([]byte("\"\" = 1\n[\"a.b\"]\n'' = 2"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		tables, err := Parse("f.toml", text)
+		if err == nil {
+			if _, err := Show(tables); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/standin/pgwire/pgwire.go
+++ b/internal/standin/pgwire/pgwire.go
@@ -84,7 +84,7 @@
 	defer s.mu.Unlock()
 	s.mode = mode
 	s.turn.Broadcast()
-	if mode == "refuse" || mode == "cut" {
+	if mode == "refuse" {
 		for c := range s.conns {
 			c.Close()
 		}
@@ -255,16 +255,7 @@
 		x.b.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		x.args = nil
-		for i, p := range m.Parameters {
-			if len(m.ParameterFormatCodes) > 0 && m.ParameterFormatCodes[min(i, len(m.ParameterFormatCodes)-1)] == 1 &&
-				len(p) == 8 { // pgx sends whole numbers as eight bytes
-				n := int64(0)
-				for _, b := range p {
-					n = n<<8 | int64(b)
-				}
-				x.args = append(x.args, strconv.FormatInt(n, 10))
-				continue
-			}
+		for _, p := range m.Parameters {
 			x.args = append(x.args, string(p))
 		}
 		x.b.Send(&pgproto3.BindComplete{})
