--- a/cmd/rehearse/record.go
+++ b/cmd/rehearse/record.go
@@ -244,8 +244,8 @@
 	claim(f.RulesBroken.Twice == 0, "effects twice: %d", f.RulesBroken.Twice)
 	claim(f.KillsAgent > 0 && f.KillsStore > 0 && f.Stalls > 0, "not put to the test: %d kills of agents, %d of the store, "+
 		"%d stalls", f.KillsAgent, f.KillsStore, f.Stalls)
-	claim(f.InDoubt <= f.OpenAtKills, "in doubt: %d, with %d txns open at kills", f.InDoubt, f.OpenAtKills)
 	if !r.Short {
+		claim(f.InDoubt <= f.OpenAtKills, "in doubt: %d, with %d txns open at kills", f.InDoubt, f.OpenAtKills)
 		claim(f.KillsAgent >= r.Kills, "not put to the test: %d kills of %d", f.KillsAgent, r.Kills)
 		claim(f.SettledStall >= f.SettledCalm-0.01, "settled while the store stalled: %.4f, calm %.4f", f.SettledStall, f.SettledCalm)
 		claim(f.Took <= 50, "took %.0f s", f.Took)
