--- a/internal/record/spool/spool.go
+++ b/internal/record/spool/spool.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/google/uuid"
@@ -69,7 +70,8 @@
 func Agents(fs FS, root string) (agents []string, err error) {
 	names, _, err := fs.List(root)
 	for _, name := range names {
-		if agent, err := url.PathUnescape(name); err == nil {
+		inside, _, _ := fs.List(join(root, name)) // what else stands there, as a store's file, is no agent's
+		if agent, err := url.PathUnescape(name); err == nil && slices.Contains(inside, lockName) {
 			agents = append(agents, agent)
 		}
 	}
