Sources wired: discovery and SRV through one merge, a state file, operators' commands, rehearse srv

Need: agents of other installations have to work from both sources, and a drain must hold whatever SRV says.

--- a/cmd/onyxgate/main.go
+++ b/cmd/onyxgate/main.go
@@ -41,6 +41,7 @@
 		Serve   serve       `cmd:"" help:"Serve clients until SIGTERM."`
 		Check   check       `cmd:"" help:"Read a configuration, or our settings, and say what is wrong with them."`
 		Record  recordLine  `cmd:"" help:"Look after the store of record."`
+		Sources sourcesLine `cmd:"" help:"Look at the sources of the fleet."`
 		Version showVersion `cmd:"" help:"Print the version."`
 	}
 	c := kong.Parse(&line, kong.Name("onyxgate"), kong.UsageOnError(),
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -23,6 +23,7 @@
 func main() {
 	var line struct {
 		Day      day     `cmd:"" help:"A day in half a minute: three agents, ten appliances, one build rolled out."`
+		Srv      srv     `cmd:"" help:"Discovery and SRV that disagree."`
 		Record   rec     `cmd:"" help:"The store of record through kills and stalls."`
 		Pgwire   pgStand `cmd:"" hidden:"" help:"The stand-in of a PostgreSQL server, as a process that can be killed."`
 		Holdlite holder  `cmd:"" hidden:"" help:"Holds the write lock of a SQLite file until its input ends."`
--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -29,6 +29,7 @@
 	"onyxgate/internal/record/keeper"
 	"onyxgate/internal/settings"
 	"onyxgate/internal/setup"
+	"onyxgate/internal/sources/host"
 	"onyxgate/policy"
 )
 
@@ -72,6 +73,7 @@
 	upstream  *httpwire.Upstream
 	front     *httpwire.Front
 	keeper    *keeper.Keeper // nil: nothing is recorded
+	sources   *host.Host     // nil: discovery alone
 	meter     *metering.Meter
 }
 
@@ -120,7 +122,11 @@
 	a.platform = httpwire.NewPlatform(a.core, tcp, config.Get("pipeline.address").Str, setup.Called(s), seed+1)
 	up, idle := setup.Connecting(s)
 	onAnswers, onProbes := setup.Reported(s)
-	a.upstream = httpwire.NewUpstream(a.core, tcp, a.discovery.Address, a.budget, up, idle, onAnswers, onProbes)
+	address := a.discovery.Address
+	if o.Tables.Sources.On() {
+		address = func(id string) string { return a.sources.Address(id) }
+	}
+	a.upstream = httpwire.NewUpstream(a.core, tcp, address, a.budget, up, idle, onAnswers, onProbes)
 	a.discovery.Forgetting(a.upstream.Forget)
 	room := int64(1 << 30)
 	if memoryMB > 0 {
@@ -133,6 +139,10 @@
 		"memory_mb": memoryMB, "agents": s.Get("balancers").Int(), "products": len(names),
 		"appliances": len(config.Get("known.servers").Array())}).Info("start")
 	a.core.Start(func(p policy.Port) *policy.Agent { return setup.Module(p, seed, s, a.budget.Clients()) })
+	if o.Tables.Sources.On() { // after the module: what is remembered goes to it at once
+		a.sources = host.New(o.Tables.Sources, a.core, a.upstream.Forget, seed+3)
+		a.discovery.Telling(a.sources.List, a.sources.Silent)
+	}
 	if err := a.discovery.Take([]byte(config.Get("known").Raw), httpwire.Known, func() {}); err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
@@ -167,6 +177,9 @@
 	go a.platform.Cast(ctx)
 	go a.upstream.Sweep(ctx)
 	go a.report(ctx)
+	if a.sources != nil {
+		go a.sources.Run(ctx)
+	}
 	keeping, endKeeping := context.WithCancel(context.Background())
 	defer endKeeping()
 	kept := make(chan bool)
@@ -269,6 +282,12 @@
 		"ends":    fmt.Sprint(n.Ends[policy.Settled:]),
 		"sockets": all, "clients": clients, "clients_idle": resting, "opened": opened, "idle": idle, "unsent": unsent,
 		"list": version, "listed": listed, "timers": n.Timers, "broken": must.Broken()}).Info("counts")
+	if a.sources != nil {
+		n := a.sources.Counts()
+		logrus.WithFields(logrus.Fields{"lookups": n.Lookups, "questions": n.Questions, "failures": n.Failures,
+			"negative": n.Negative, "changes": n.Changes, "running": n.Running, "known": n.Known, "doubt_discovery": n.Doubt[0],
+			"doubt_srv": n.Doubt[1]}).Info("sources")
+	}
 	if a.keeper != nil {
 		s := a.keeper.Standing()
 		logrus.WithFields(logrus.Fields{"spool": s.Health.String(), "entries": s.Entries, "notes": s.Notes, "gaps": s.Gaps,
@@ -278,6 +297,29 @@
 	}
 }
 
+// seen names what can be scraped of the sources.
+func (a *Agent) seen() {
+	count := func(name string, of func(host.Counts) float64) {
+		a.meter.Gauge(name, func() float64 { return of(a.sources.Counts()) })
+	}
+	doubt := func(source int) func(host.Counts) float64 {
+		return func(n host.Counts) float64 {
+			if n.Doubt[source] != "" {
+				return 1
+			}
+			return 0
+		}
+	}
+	count("onyxgate_sources_lookups_total", func(n host.Counts) float64 { return float64(n.Lookups) })
+	count("onyxgate_sources_questions_total", func(n host.Counts) float64 { return float64(n.Questions) })
+	count("onyxgate_sources_failures_total", func(n host.Counts) float64 { return float64(n.Failures) })
+	count("onyxgate_sources_negative_total", func(n host.Counts) float64 { return float64(n.Negative) })
+	count("onyxgate_sources_changes_total", func(n host.Counts) float64 { return float64(n.Changes) })
+	count("onyxgate_sources_running", func(n host.Counts) float64 { return float64(n.Running) })
+	count(`onyxgate_sources_doubted{source="discovery"}`, doubt(0))
+	count(`onyxgate_sources_doubted{source="srv"}`, doubt(1))
+}
+
 // measure names what can be scraped.
 func (a *Agent) measure() {
 	a.meter = metering.New()
@@ -292,6 +334,9 @@
 	count("onyxgate_txns_open", func(n core.Counts) int { return n.Open })
 	count("onyxgate_submissions_out", func(n core.Counts) int { return n.Out })
 	a.meter.Gauge("onyxgate_broken_total", func() float64 { return float64(must.Broken()) })
+	if a.sources != nil {
+		a.seen()
+	}
 	if a.keeper == nil {
 		return
 	}
--- a/internal/httpwire/discovery.go
+++ b/internal/httpwire/discovery.go
@@ -42,6 +42,8 @@
 	zones, kinds []string
 	asked        bool
 	forget       func(address string)
+	tell         func(entries []policy.Listed, addresses []string, whole, old bool)
+	lost         func()
 	chance       *rand.Rand
 	asks         chan bool // true: whole list, false: the watch
 	moved        chan bool
@@ -54,13 +56,19 @@
 // NewDiscovery makes one; where the list is only told to those who ask, the module opens the watch.
 func NewDiscovery(c *core.Core, dial Dial, address string, zones, kinds []string, asked bool, seed uint64) *Discovery {
 	return &Discovery{core: c, dial: dial, address: address, zones: zones, kinds: kinds, asked: asked,
-		forget: func(string) {}, chance: policy.Chance(seed), asks: make(chan bool, 16), moved: make(chan bool, 1),
+		forget: func(string) {}, lost: func() {}, tell: func(entries []policy.Listed, _ []string, whole, old bool) { c.List(entries, whole, old) }, chance: policy.Chance(seed), asks: make(chan bool, 16), moved: make(chan bool, 1),
 		where: map[string]string{}, started: map[string]float64{}}
 }
 
 // Forgetting names what is called for an address that an appliance has left.
 func (d *Discovery) Forgetting(forget func(address string)) { d.forget = forget }
 
+// Telling names who is told of lists and changes in place of the core: a merge with other sources.
+// lost is called whenever the watch breaks or falls silent.
+func (d *Discovery) Telling(tell func(entries []policy.Listed, addresses []string, whole, old bool), lost func()) {
+	d.tell, d.lost = tell, lost
+}
+
 // Address is where an appliance listens; empty: it is not listed.
 func (d *Discovery) Address(appliance string) string {
 	d.mu.RLock()
@@ -105,7 +113,10 @@
 	ended := make(chan bool, 1)
 	start := func() {
 		go func() {
-			follow(ctx, d.chance, d.moved, "watch", !d.asked, d.watch)
+			follow(ctx, d.chance, d.moved, "watch", !d.asked, func(ctx context.Context, told func()) error {
+				defer d.lost()
+				return d.watch(ctx, told)
+			})
 			ended <- true
 		}()
 	}
@@ -342,7 +353,7 @@
 	for address := range left {
 		d.forget(address)
 	}
-	d.core.List(entries, whole, from == Known)
+	d.tell(entries, addresses, whole, from == Known)
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,17 +16,21 @@
 
 	"onyxgate/internal/metering"
 	"onyxgate/internal/record/keeper"
+	"onyxgate/internal/sources/host"
 	"onyxgate/internal/units"
 )
 
 // Tables are all that there are.
 type Tables struct {
 	Record  keeper.Table   `toml:"record"`
+	Sources host.Table     `toml:"sources"`
 	Metrics metering.Table `toml:"metrics"`
 }
 
 // Default is what holds without a file.
-func Default() Tables { return Tables{Record: keeper.Default(), Metrics: metering.Default()} }
+func Default() Tables {
+	return Tables{Record: keeper.Default(), Sources: host.Default(), Metrics: metering.Default()}
+}
 
 // Read reads a file; no name means what holds without one.
 func Read(path string) (Tables, error) {
@@ -68,6 +72,7 @@
 		wrong = append(wrong, fmt.Errorf("%s: %s = %q: %s; write %s = %s", place, key, fmt.Sprint(value), what, last, right))
 	}
 	t.Record.Check(tell)
+	t.Sources.Check(tell)
 	t.Metrics.Check(tell)
 	return t, errors.Join(wrong...)
 }
@@ -174,7 +179,7 @@
 		}
 	}
 	if len(out) == 0 {
-		return "[record], [record.store], [metrics]"
+		return "[record], [record.store], [sources], [sources.dns], [metrics]"
 	}
 	return strings.Join(out, ", ")
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -27,6 +28,8 @@
 		{"a server without a user", "[record]\nmode = \"memory\"\n[record.store]\nkind = \"postgres\"\naddress = \"db:1\"\n", "needs database and user"},
 		{"a password that is not there", "[record]\nmode = \"memory\"\n[record.store]\nkind = \"postgres\"\naddress = \"db:1\"\ndatabase = \"d\"\nuser = \"u\"\npassword_file = \"/no/such\"\n", "f.toml:8: record.store.password_file"},
 		{"patience below the group's wait", "[record]\nmode = \"spool\"\ndirectory = \"d\"\ngroup_wait = \"1s\"\n", "record.patience = \"250ms\": no longer than group_wait"},
+		{"a name without servers", "[sources.dns]\nname = \"_r._tcp.x\"\n", "f.toml: sources.dns.servers = \"[]\": needed by a name; write servers = [\"10.0.0.53:53\"]"},
+		{"a server without a port", "[sources.dns]\nname = \"x\"\nservers = [\"h\"]\n", "f.toml:3: sources.dns.servers = \"h\""},
 		{"metrics nowhere", "[metrics]\nlisten = \"here\"\n", "f.toml:2: metrics.listen = \"here\""},
 		{"no TOML", "[record\n", "f.toml:1:"},
 		{"another type", "[record]\nmode = 3\n", "f.toml:2"},
@@ -52,7 +55,7 @@
 			t.Fatal(err)
 		}
 		again, err := Parse("g.toml", []byte(shown))
-		if err != nil || again != tables {
+		if err != nil || !reflect.DeepEqual(again, tables) {
 			t.Errorf("%v: %+v, not %+v", err, again, tables)
 		}
 	}
@@ -71,7 +74,7 @@
 		t.Fatal(err)
 	}
 	tables, err := Parse("onyxgate.toml", text)
-	if err != nil || tables != Default() {
+	if err != nil || !reflect.DeepEqual(tables, Default()) {
 		t.Errorf("%+v, %v", tables, err)
 	}
 	for _, key := range keys() {
--- /dev/null
+++ b/internal/sources/host/host.go
@@ -0,0 +1,282 @@
+// Package host runs the merge in an agent: between discovery and the core, with a resolver beside it. It must never decide
+// what holds; every change of the fleet reaches the core in the order in which the merge made it.
+package host
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"onyxgate/internal/points"
+	"onyxgate/internal/sources"
+	"onyxgate/internal/sources/dns"
+	"onyxgate/internal/units"
+	"onyxgate/policy"
+)
+
+// Table is [sources].
+type Table struct {
+	State string   `toml:"state" comment:"a file in which 'onyxgate sources show' reads, and a restart what had ended; empty: none"`
+	DNS   DNSTable `toml:"dns"`
+}
+
+// DNSTable is [sources.dns].
+type DNSTable struct {
+	Name    string     `toml:"name" comment:"of the service, as _render._tcp.fleet.example.org; empty: off"`
+	Servers []string   `toml:"servers" comment:"host:port, asked in turn as they fail"`
+	Wait    units.Span `toml:"wait" comment:"for one answer over UDP"`
+	Rate    float64    `toml:"lookups_a_second" comment:"at most, whatever lifetimes say"`
+}
+
+// Default is off.
+func Default() Table {
+	return Table{DNS: DNSTable{Servers: []string{}, Wait: units.Span(500 * time.Millisecond), Rate: 2}}
+}
+
+// On tells whether anything beside discovery is a source.
+func (t Table) On() bool { return t.DNS.Name != "" }
+
+// Check looks for what can't be.
+func (t Table) Check(wrong func(key string, value any, what, right string)) {
+	if !t.On() {
+		return
+	}
+	if len(t.DNS.Servers) == 0 {
+		wrong("sources.dns.servers", t.DNS.Servers, "needed by a name", `["10.0.0.53:53"]`)
+	}
+	for _, s := range t.DNS.Servers {
+		if _, _, err := net.SplitHostPort(s); err != nil {
+			wrong("sources.dns.servers", s, err.Error(), `["10.0.0.53:53"]`)
+		}
+	}
+	if t.DNS.Wait.Ms() < 10 {
+		wrong("sources.dns.wait", t.DNS.Wait, "too short for any answer", `"500ms"`)
+	}
+	if t.DNS.Rate < 0.01 || t.DNS.Rate > 100 {
+		wrong("sources.dns.lookups_a_second", t.DNS.Rate, "not between 0.01 and 100", "2.0")
+	}
+}
+
+// Fleet is the core's side of it.
+type Fleet interface {
+	List(entries []policy.Listed, whole, old bool)
+	Now() float64
+}
+
+// Counts are what has been since the start.
+type Counts struct {
+	Lookups, Failures, Negative, Questions, Changes uint64
+	Running, Known                                  int
+	Doubt                                           [2]string
+}
+
+// Host is one agent's.
+type Host struct {
+	table  Table
+	fleet  Fleet
+	forget func(address string)
+	mu     sync.Mutex
+	merge  *sources.Merge
+	view   atomic.Pointer[sources.View]
+	lookup *sources.Lookup
+	dns    *dns.Resolver
+	counts Counts
+	dirty  bool
+}
+
+// New makes one and recalls what an earlier life wrote down.
+func New(t Table, fleet Fleet, forget func(string), seed uint64) *Host {
+	chance := rand.New(rand.NewPCG(seed, 17))
+	dial := (&net.Dialer{}).DialContext
+	h := &Host{table: t, fleet: fleet, forget: forget, merge: sources.New(),
+		lookup: sources.NewLookup(len(t.DNS.Servers), t.DNS.Rate, chance), dns: dns.New(dial, chance, time.Duration(t.DNS.Wait))}
+	h.show()
+	if text, err := os.ReadFile(t.State); err == nil {
+		var file State
+		if err := json.Unmarshal(text, &file); err != nil {
+			logrus.WithError(err).Warn("the state of sources can't be read, it starts anew")
+		} else if !points.Defect("forget-drains") {
+			h.apply(h.merge.Recall(fleet.Now(), file.Memory), true, false)
+		}
+	}
+	return h
+}
+
+func (h *Host) show() {
+	v := h.merge.Fleet()
+	h.view.Store(&v)
+}
+
+// Address is where an appliance listens; empty: it is not in the fleet. Readers never wait for a change under way.
+func (h *Host) Address(id string) string {
+	e, _ := h.view.Load().Get(id)
+	return e.Address
+}
+
+// apply tells the core of changes. Under the lock, so that their order holds.
+func (h *Host) apply(changes []sources.Entry, old, always bool) {
+	var left []string
+	entries := make([]policy.Listed, 0, len(changes))
+	for _, e := range changes {
+		if was, ok := h.view.Load().Get(e.ID); ok && (e.State == policy.Gone || was.Address != e.Address || was.Start != e.Start) {
+			left = append(left, was.Address)
+		}
+		entries = append(entries, e.Listed)
+	}
+	h.counts.Changes += uint64(len(changes))
+	h.show() // before the core: what it sends at once needs the address
+	if len(entries) > 0 || always {
+		h.dirty = h.dirty || len(entries) > 0
+		h.fleet.List(entries, false, old)
+	}
+	for _, address := range left {
+		h.forget(address)
+	}
+}
+
+// List takes discovery's word.
+func (h *Host) List(entries []policy.Listed, addresses []string, whole, old bool) {
+	told := make([]sources.Entry, len(entries))
+	for i, e := range entries {
+		told[i] = sources.Entry{Listed: e, Address: addresses[i]}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.apply(h.merge.List(h.fleet.Now(), told, whole), old, true)
+}
+
+// Silent notes that discovery's stream broke.
+func (h *Host) Silent() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.merge.Fail(sources.Discovery, "silent")
+}
+
+const ageEvery = 5 * time.Second
+
+// Run looks names up until ctx ends.
+func (h *Host) Run(ctx context.Context) {
+	aged := time.Now()
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		server, wait := h.lookup.Next(h.fleet.Now())
+		h.mu.Unlock()
+		if server < 0 {
+			timer := time.NewTimer(min(time.Duration(wait*1e6), time.Second))
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+			}
+			timer.Stop()
+		} else {
+			h.ask(ctx, server)
+		}
+		h.mu.Lock()
+		if time.Since(aged) > ageEvery {
+			aged = time.Now()
+			h.apply(h.merge.Age(h.fleet.Now()), false, false)
+		}
+		dirty := h.dirty
+		h.dirty = false
+		h.mu.Unlock()
+		if dirty {
+			h.write()
+		}
+	}
+	h.write()
+}
+
+func (h *Host) ask(ctx context.Context, server int) {
+	at := h.table.DNS.Servers[server]
+	a, err := h.dns.Lookup(ctx, at, h.table.DNS.Name)
+	if ctx.Err() != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now, doubt := h.fleet.Now(), h.merge.Doubt[sources.SRV]
+	h.counts.Lookups++
+	h.counts.Questions = h.dns.Asked
+	switch {
+	case err != nil:
+		h.counts.Failures++
+		h.lookup.Failed(now, server)
+		h.merge.Fail(sources.SRV, err.Error())
+	case a.Negative:
+		h.counts.Negative++
+		h.lookup.Answered(now, server, float64(a.TTL)/1e6, true)
+		h.merge.Fail(sources.SRV, "the service does not exist")
+	default:
+		h.lookup.Answered(now, server, float64(a.TTL)/1e6, false)
+		if points.Defect("undrain") {
+			h.merge.Forgive(a.Claims)
+		}
+		h.apply(h.merge.Answer(now, a.Claims), false, false)
+		h.dirty = true // when it was last named
+	}
+	if is := h.merge.Doubt[sources.SRV]; (is == "") != (doubt == "") {
+		logrus.WithFields(logrus.Fields{"source": "srv", "server": at, "doubt": is, "claims": len(a.Claims)}).Info("source")
+	}
+}
+
+// Counts tells them.
+func (h *Host) Counts() Counts {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := h.counts
+	n.Doubt = h.merge.Doubt
+	n.Running, n.Known = h.merge.Fleet().Running, h.merge.Fleet().Len()
+	return n
+}
+
+// State is what the state file holds.
+type State struct {
+	At         float64        `json:"at_ms"`
+	Doubt      [2]string      `json:"doubt"` // of discovery, of SRV; empty: none
+	Appliances []Shown        `json:"appliances"`
+	Memory     sources.Memory `json:"memory"`
+}
+
+// Shown is one appliance with all that was told of it.
+type Shown struct {
+	ID      string         `json:"id"`
+	Address string         `json:"address"`
+	State   string         `json:"state"`
+	Build   int            `json:"build"`
+	Rating  float64        `json:"rating"`
+	Rule    string         `json:"rule"`
+	Words   []sources.Word `json:"words"`
+}
+
+// write puts the state file in place whole.
+func (h *Host) write() {
+	if h.table.State == "" {
+		return
+	}
+	h.mu.Lock()
+	s := State{At: h.fleet.Now(), Doubt: h.merge.Doubt, Memory: h.merge.Remember()}
+	h.merge.Fleet().Each(func(id string, e sources.Entry) {
+		s.Appliances = append(s.Appliances, Shown{id, e.Address, [...]string{"running", "draining", "gone"}[e.State], e.Build,
+			e.Rating, e.Rule, h.merge.Explain(id, e.Address)})
+	})
+	h.mu.Unlock()
+	slices.SortFunc(s.Appliances, func(a, b Shown) int { return cmp.Compare(a.ID, b.ID) })
+	text, err := json.Marshal(s)
+	if err == nil {
+		if err = os.WriteFile(h.table.State+".new", text, 0o600); err == nil {
+			err = os.Rename(h.table.State+".new", h.table.State)
+		}
+	}
+	if err != nil {
+		logrus.WithError(err).Warn("the state of sources can't be written")
+	}
+}
--- a/internal/sources/merge.go
+++ b/internal/sources/merge.go
@@ -6,7 +6,9 @@
 // This file owns the merge: what each source told, and which of its words holds.
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/benbjohnson/immutable"
 
@@ -37,8 +39,9 @@
 
 // Claim is what SRV tells of one address.
 type Claim struct {
-	Address          string
-	Priority, Weight int
+	Address  string `json:"address"`
+	Priority int    `json:"priority"`
+	Weight   int    `json:"weight"`
 }
 
 // Entry is an appliance as the module is told of it, and where it listens.
@@ -393,3 +396,94 @@
 	}
 	return 1
 }
+
+// Memory is what a merge should know again after a restart: without it SRV could bring back, before discovery has spoken,
+// what had drained.
+type Memory struct {
+	Ended map[string]float64 `json:"ended"` // address: Unix ms
+	SRV   []Remembered       `json:"srv"`
+}
+
+// Remembered is what SRV last told of an address.
+type Remembered struct {
+	Claim
+	First float64 `json:"first_ms"`
+	Last  float64 `json:"last_ms"`
+}
+
+// Remember is the merge's memory, in the order of addresses.
+func (m *Merge) Remember() Memory {
+	out := Memory{Ended: map[string]float64{}}
+	for i := m.ended.Iterator(); !i.Done(); {
+		address, at, _ := i.Next()
+		out.Ended[address] = at
+	}
+	for i := m.srv.Iterator(); !i.Done(); {
+		_, c, _ := i.Next()
+		out.SRV = append(out.SRV, Remembered{c.Claim, c.first, c.last})
+	}
+	slices.SortFunc(out.SRV, func(a, b Remembered) int { return cmp.Compare(a.Address, b.Address) })
+	return out
+}
+
+// Recall gives a new merge the memory of an earlier one. What was last named too long ago is left out.
+func (m *Merge) Recall(now float64, from Memory) (changes []Entry) {
+	for address, at := range from.Ended {
+		if at <= now { // else the clock was set back, and it would stay closed for as long
+			m.ended = m.ended.Set(address, at)
+		} else {
+			m.ended = m.ended.Set(address, now)
+		}
+	}
+	var still []Claim
+	for _, c := range from.SRV {
+		if now-c.Last <= staleMost {
+			still = append(still, c.Claim)
+		}
+	}
+	changes = m.Answer(now, still)
+	for _, c := range from.SRV {
+		if n, ok := m.srv.Get(c.Address); ok {
+			n.last = min(c.Last, now)
+			m.srv = m.srv.Set(c.Address, n)
+		}
+	}
+	m.Doubt[SRV] = "remembered"
+	return changes
+}
+
+// Word is what one source says of an appliance.
+type Word struct {
+	Source string  `json:"source"`
+	Says   string  `json:"says"`
+	At     float64 `json:"at_ms"`
+}
+
+// Explain is what each source says of an appliance that the fleet has, or had.
+func (m *Merge) Explain(id, address string) (words []Word) {
+	states := [...]string{"running", "draining", "gone"}
+	if t, ok := m.list.Get(id); ok {
+		words = append(words, Word{"discovery", fmt.Sprintf("%s, build %d", states[t.State], t.Build), t.at})
+	}
+	if at, ok := m.ended.Get(address); ok {
+		words = append(words, Word{"discovery", "drained or gone at this address", at})
+	}
+	if c, ok := m.srv.Get(address); ok {
+		words = append(words, Word{"srv", fmt.Sprintf("named, priority %d, weight %d, missed %d times", c.Priority, c.Weight,
+			c.misses), c.last})
+	}
+	return words
+}
+
+// Forgive lets SRV undo what discovery ended. It is what must never be, and stands here for rehearsals to see that it would
+// be found.
+func (m *Merge) Forgive(claims []Claim) {
+	for _, c := range claims {
+		m.ended = m.ended.Delete(c.Address)
+		if id, ok := m.at.Get(c.Address); ok {
+			if t, ok := m.list.Get(id); ok && t.State == policy.Draining {
+				m.list, m.at = m.list.Delete(id), m.at.Delete(c.Address)
+			}
+		}
+	}
+}
--- a/internal/standin/tier/serve.go
+++ b/internal/standin/tier/serve.go
@@ -103,9 +103,17 @@
 	}
 	w := a.world
 	w.mu.Lock()
-	if t := a.told[agent]; !t.IsZero() && time.Since(t) > Grace+50*time.Millisecond {
-		w.Broken.Drains++
+	if t := a.told[agent]; !t.IsZero() {
+		w.Late = max(w.Late, time.Since(t))
+		if time.Since(t) > Grace+50*time.Millisecond {
+			w.Broken.Drains++
+		}
+	}
+	second := time.Now().Unix()
+	if w.reach[agent][second] == nil {
+		w.reach[agent][second] = map[string]bool{}
 	}
+	w.reach[agent][second][a.ID] = true
 	if s := w.stage; a.Build == s.Build && s.Mode == "canary" {
 		w.trials[agent] = append(w.trials[agent], time.Now())
 	}
@@ -185,7 +193,9 @@
 }
 
 // stream writes what comes to one listener until it goes away.
-func stream(ctx context.Context, rw http.ResponseWriter, l *listener, kind, first, life string, every time.Duration) {
+// where quiet tells so, no sign of life is given.
+func stream(ctx context.Context, rw http.ResponseWriter, l *listener, kind, first, life string, every time.Duration,
+	quiet func() bool) {
 	rw.Header().Set("Content-Type", kind)
 	out := http.NewResponseController(rw)
 	tick := time.NewTicker(every)
@@ -200,7 +210,9 @@
 			return
 		case text = <-l.lines:
 		case <-tick.C:
-			text = life
+			if text = life; quiet() {
+				text = ""
+			}
 		}
 	}
 }
@@ -208,12 +220,13 @@
 func (w *World) discovery(agent int, l net.Listener) {
 	http.Serve(l, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w.mu.Lock()
-		text, _ := json.Marshal(w.list(agent, true))
-		for _, a := range w.fleet {
-			if a.state != "Ready" && a.told[agent].IsZero() {
-				a.told[agent] = time.Now()
-			}
+		if w.muted[agent] { // silent to the end of the connection
+			w.mu.Unlock()
+			<-r.Context().Done()
+			return
 		}
+		text, _ := json.Marshal(w.list(agent, true))
+		w.telling(agent)
 		if r.URL.Query().Get("watch") == "" {
 			w.mu.Unlock()
 			rw.Write(text)
@@ -222,7 +235,11 @@
 		s := &listener{agent, make(chan string, 64)}
 		w.watch[s] = true
 		w.mu.Unlock()
-		stream(r.Context(), rw, s, "application/json", string(text)+"\n", "\n", 2*time.Second)
+		stream(r.Context(), rw, s, "application/json", string(text)+"\n", "\n", 2*time.Second, func() bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.muted[agent]
+		})
 		w.mu.Lock()
 		delete(w.watch, s)
 		w.mu.Unlock()
@@ -237,7 +254,7 @@
 			w.notice[s] = true
 			first := w.news()
 			w.mu.Unlock()
-			stream(r.Context(), rw, s, "text/event-stream", first, ":\n", time.Second)
+			stream(r.Context(), rw, s, "text/event-stream", first, ":\n", time.Second, func() bool { return false })
 			w.mu.Lock()
 			delete(w.notice, s)
 			w.mu.Unlock()
--- a/internal/standin/tier/tier.go
+++ b/internal/standin/tier/tier.go
@@ -76,6 +76,11 @@
 	takens [][]time.Time        // txns by agent, for exposure
 	trials [][]time.Time        // submissions at the build on trial, by agent
 	Broken Broken
+	Linger time.Duration               // that an appliance stands after it is listed as gone
+	muted  map[int]bool                // agents whose discovery is silent
+	Drains int                         // told
+	Late   time.Duration               // the latest work at an appliance after its agent was told that it drains or is gone
+	reach  []map[int64]map[string]bool // appliances that an agent's work reached, by second
 }
 
 // Broken counts breaches of the rules as seen from outside; lost txns are the clients' to count.
@@ -87,7 +92,10 @@
 func New(agents, appliances, cores int, seed uint64) (*World, error) {
 	w := &World{Agents: agents, chance: rand.New(rand.NewPCG(seed, 1)), watch: map[*listener]bool{},
 		notice: map[*listener]bool{}, Votes: map[string]int{}, marks: map[string]time.Time{}, ran: map[string]int{},
-		takens: make([][]time.Time, agents), trials: make([][]time.Time, agents)}
+		takens: make([][]time.Time, agents), trials: make([][]time.Time, agents), muted: map[int]bool{}}
+	for range agents {
+		w.reach = append(w.reach, map[int64]map[string]bool{})
+	}
 	w.stage = Stage{At: time.Now(), Build: 1, Stage: len(rings) - 1, Mode: "stable", Cap: 1}
 	w.Stages = []Stage{w.stage}
 	for range appliances {
@@ -188,7 +196,7 @@
 		defer w.mu.Unlock()
 		a.state = "Gone"
 		w.publish()
-		a.close()
+		time.AfterFunc(w.Linger, a.close)
 	})
 }
 
@@ -319,14 +327,87 @@
 func (w *World) publish() {
 	w.listed++
 	for l := range w.watch {
+		if w.muted[l.agent] {
+			continue
+		}
 		text, _ := json.Marshal(w.list(l.agent, false))
 		l.send(string(text) + "\n")
-		for _, a := range w.fleet {
-			if a.state != "Ready" && a.told[l.agent].IsZero() {
-				a.told[l.agent] = time.Now()
+		w.telling(l.agent)
+	}
+}
+
+// telling notes what an agent is told to end. Under the lock.
+func (w *World) telling(agent int) {
+	for _, a := range w.fleet {
+		if a.state != "Ready" && a.told[agent].IsZero() {
+			a.told[agent] = time.Now()
+			w.Drains++
+		}
+	}
+}
+
+// Mute makes an agent's discovery silent, or lets it speak again.
+func (w *World) Mute(agent int, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.muted[agent] = on
+	w.publish()
+}
+
+// Swap replaces some appliances by new ones of the same build, and names these.
+func (w *World) Swap(n int) (ids []string, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.fleet {
+		if a.state == "Ready" && n > 0 {
+			n--
+			if err := w.start(a.Build, a.cores, time.Now()); err != nil {
+				return ids, err
 			}
+			ids = append(ids, w.fleet[len(w.fleet)-1].ID)
+			w.drain(a)
 		}
 	}
+	w.publish()
+	return ids, nil
+}
+
+// Met is how many of these appliances an agent's work reached in a span.
+func (w *World) Met(agent int, ids []string, from, to time.Time) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range ids {
+		for s := from.Unix(); s <= to.Unix(); s++ {
+			if w.reach[agent][s][id] {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// Addresses are those at which an agent finds appliances that run; all: that ever ran, too.
+func (w *World) Addresses(agent int, all bool) (out []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.fleet {
+		if all || a.state == "Ready" {
+			out = append(out, a.address(agent))
+		}
+	}
+	return out
+}
+
+// Reached is the least number of appliances that an agent's work reached in any whole second of a span.
+func (w *World) Reached(agent int, from, to time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	least := len(w.fleet)
+	for s := from.Unix() + 1; s < to.Unix(); s++ {
+		least = min(least, len(w.reach[agent][s]))
+	}
+	return least
 }
 
 func (w *World) tell() {
