--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -140,7 +140,8 @@
 		"appliances": len(config.Get("known.servers").Array())}).Info("start")
 	a.core.Start(func(p policy.Port) *policy.Agent { return setup.Module(p, seed, s, a.budget.Clients()) })
 	if o.Tables.Sources.On() { // after the module: what is remembered goes to it at once
-		a.sources = host.New(o.Tables.Sources, a.core, a.upstream.Forget, seed+3)
+		a.sources = host.New(o.Tables.Sources, a.core, a.upstream.Forget, int(s.Get("me").Int()),
+			int(s.Get("balancers").Int()), seed+3)
 		a.discovery.Telling(a.sources.List, a.sources.Silent)
 	}
 	if err := a.discovery.Take([]byte(config.Get("known").Raw), httpwire.Known, func() {}); err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -30,6 +30,7 @@
 		{"patience below the group's wait", "[record]\nmode = \"spool\"\ndirectory = \"d\"\ngroup_wait = \"1s\"\n", "record.patience = \"250ms\": no longer than group_wait"},
 		{"a name without servers", "[sources.dns]\nname = \"_r._tcp.x\"\n", "f.toml: sources.dns.servers = \"[]\": needed by a name; write servers = [\"10.0.0.53:53\"]"},
 		{"a server without a port", "[sources.dns]\nname = \"x\"\nservers = [\"h\"]\n", "f.toml:3: sources.dns.servers = \"h\""},
+		{"a subset below its least", "[sources.subset]\nsize = 2\n", "f.toml:2: sources.subset.size = \"2\""},
 		{"metrics nowhere", "[metrics]\nlisten = \"here\"\n", "f.toml:2: metrics.listen = \"here\""},
 		{"no TOML", "[record\n", "f.toml:1:"},
 		{"another type", "[record]\nmode = 3\n", "f.toml:2"},
--- a/internal/sources/host/host.go
+++ b/internal/sources/host/host.go
@@ -25,8 +25,15 @@
 
 // Table is [sources].
 type Table struct {
-	State string   `toml:"state" comment:"a file in which 'onyxgate sources show' reads, and a restart what had ended; empty: none"`
-	DNS   DNSTable `toml:"dns"`
+	State  string      `toml:"state" comment:"a file in which 'onyxgate sources show' reads, and a restart what had ended; empty: none"`
+	DNS    DNSTable    `toml:"dns"`
+	Subset SubsetTable `toml:"subset"`
+}
+
+// SubsetTable is [sources.subset].
+type SubsetTable struct {
+	Size  int `toml:"size" comment:"appliances that this agent works with; 0: all"`
+	Least int `toml:"least" comment:"of each build and zone, however small"`
 }
 
 // DNSTable is [sources.dns].
@@ -39,17 +46,23 @@
 
 // Default is off.
 func Default() Table {
-	return Table{DNS: DNSTable{Servers: []string{}, Wait: units.Span(500 * time.Millisecond), Rate: 2}}
+	return Table{DNS: DNSTable{Servers: []string{}, Wait: units.Span(500 * time.Millisecond), Rate: 2}, Subset: SubsetTable{Least: 3}}
 }
 
 // On tells whether anything beside discovery is a source.
-func (t Table) On() bool { return t.DNS.Name != "" }
+func (t Table) On() bool { return t.DNS.Name != "" || t.Subset.Size > 0 }
 
 // Check looks for what can't be.
 func (t Table) Check(wrong func(key string, value any, what, right string)) {
 	if !t.On() {
 		return
 	}
+	if t.Subset.Size < 0 || t.Subset.Least < 0 || t.Subset.Size > 0 && t.Subset.Size < t.Subset.Least {
+		wrong("sources.subset.size", t.Subset.Size, "below zero, or below least", "50")
+	}
+	if t.DNS.Name == "" {
+		return
+	}
 	if len(t.DNS.Servers) == 0 {
 		wrong("sources.dns.servers", t.DNS.Servers, "needed by a name", `["10.0.0.53:53"]`)
 	}
@@ -91,13 +104,16 @@
 	dns    *dns.Resolver
 	counts Counts
 	dirty  bool
+	me     int
+	agents int
+	chosen map[string]bool // with a subset: whom the core knows
 }
 
 // New makes one and recalls what an earlier life wrote down.
-func New(t Table, fleet Fleet, forget func(string), seed uint64) *Host {
+func New(t Table, fleet Fleet, forget func(string), me, agents int, seed uint64) *Host {
 	chance := rand.New(rand.NewPCG(seed, 17))
 	dial := (&net.Dialer{}).DialContext
-	h := &Host{table: t, fleet: fleet, forget: forget, merge: sources.New(),
+	h := &Host{table: t, fleet: fleet, forget: forget, me: me, agents: agents, chosen: map[string]bool{}, merge: sources.New(),
 		lookup: sources.NewLookup(len(t.DNS.Servers), t.DNS.Rate, chance), dns: dns.New(dial, chance, time.Duration(t.DNS.Wait))}
 	h.show()
 	if text, err := os.ReadFile(t.State); err == nil {
@@ -124,6 +140,9 @@
 
 // apply tells the core of changes. Under the lock, so that their order holds.
 func (h *Host) apply(changes []sources.Entry, old, always bool) {
+	if h.table.Subset.Size > 0 {
+		changes = h.choose(changes)
+	}
 	var left []string
 	entries := make([]policy.Listed, 0, len(changes))
 	for _, e := range changes {
@@ -143,6 +162,32 @@
 	}
 }
 
+// choose turns changes of the fleet into changes of the part that this agent works with.
+func (h *Host) choose(changes []sources.Entry) (out []sources.Entry) {
+	var all []sources.Entry
+	h.merge.Fleet().Each(func(_ string, e sources.Entry) { all = append(all, e) })
+	in := sources.Subset(h.me, h.agents, h.table.Subset.Size, h.table.Subset.Least, all)
+	changed := make(map[string]bool, len(changes))
+	for _, e := range changes {
+		changed[e.ID] = true
+		if in[e.ID] || h.chosen[e.ID] {
+			out = append(out, e)
+		}
+	}
+	for _, e := range all {
+		if in[e.ID] && !h.chosen[e.ID] && !changed[e.ID] {
+			out = append(out, e)
+		}
+		if !in[e.ID] && h.chosen[e.ID] { // it runs on, for others
+			e.State = policy.Gone
+			out = append(out, e)
+		}
+	}
+	h.chosen = in
+	slices.SortStableFunc(out, func(a, b sources.Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // List takes discovery's word.
 func (h *Host) List(entries []policy.Listed, addresses []string, whole, old bool) {
 	told := make([]sources.Entry, len(entries))
@@ -165,6 +210,9 @@
 
 // Run looks names up until ctx ends.
 func (h *Host) Run(ctx context.Context) {
+	if h.table.DNS.Name == "" {
+		return
+	}
 	aged := time.Now()
 	for ctx.Err() == nil {
 		h.mu.Lock()
--- /dev/null
+++ b/internal/sources/host/host_test.go
@@ -0,0 +1,209 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	mdns "github.com/miekg/dns"
+	"github.com/sirupsen/logrus"
+
+	"onyxgate/internal/sources/dns"
+	"onyxgate/internal/units"
+	"onyxgate/policy"
+)
+
+func init() { logrus.SetOutput(io.Discard) }
+
+// fleet is a core's side that keeps what it is told.
+type fleet struct {
+	from  time.Time
+	calls int
+	has   map[string]policy.Listed
+}
+
+func newFleet() *fleet { return &fleet{from: time.Now(), has: map[string]policy.Listed{}} }
+
+func (f *fleet) Now() float64 { return 1e12 + float64(time.Since(f.from))/1e6 }
+
+func (f *fleet) List(entries []policy.Listed, whole, _ bool) {
+	f.calls++
+	if whole {
+		clear(f.has)
+	}
+	for _, e := range entries {
+		if e.State == policy.Gone {
+			delete(f.has, e.ID)
+		} else {
+			f.has[e.ID] = e
+		}
+	}
+}
+
+func listed(from, to int, state policy.State) (entries []policy.Listed, addresses []string) {
+	for i := from; i < to; i++ {
+		entries = append(entries, policy.Listed{ID: fmt.Sprint("a", i), Build: 1, State: state, Rating: 1})
+		addresses = append(addresses, fmt.Sprint("10.0.0.1:", i+1))
+	}
+	return entries, addresses
+}
+
+// answering is a name server on pipes that names ports of one host; none: it is silent.
+func answering(ports func() []int) dns.Dial {
+	return func(context.Context, string, string) (net.Conn, error) {
+		named := ports()
+		if named == nil {
+			return nil, errors.New("unreachable")
+		}
+		here, there := net.Pipe()
+		go func() {
+			defer there.Close()
+			b := make([]byte, 4096)
+			n, err := there.Read(b)
+			q, m := new(mdns.Msg), new(mdns.Msg)
+			if err != nil || q.Unpack(b[:n]) != nil {
+				return
+			}
+			m.SetReply(q)
+			for _, p := range named {
+				m.Answer = append(m.Answer, &mdns.SRV{Hdr: mdns.RR_Header{Name: q.Question[0].Name, Rrtype: mdns.TypeSRV,
+					Class: mdns.ClassINET, Ttl: 1}, Port: uint16(p), Weight: 1, Target: "h."})
+			}
+			m.Extra = []mdns.RR{&mdns.A{Hdr: mdns.RR_Header{Name: "h.", Rrtype: mdns.TypeA, Class: mdns.ClassINET, Ttl: 1},
+				A: net.IPv4(10, 0, 0, 1)}}
+			packed, _ := m.Pack()
+			there.Write(packed)
+		}()
+		return here, nil
+	}
+}
+
+// Sources that flap against each other every 100 ms: no storm at the core, nothing lost, and what ended stays ended over a
+// restart with every source dead.
+func TestFlapAndRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := Default()
+		table.State = filepath.Join(t.TempDir(), "state")
+		table.DNS.Name, table.DNS.Servers, table.DNS.Wait = "_r._tcp.x", []string{"s:1"}, units.Span(100*time.Millisecond)
+		f, named := newFleet(), []int{1, 2, 3, 9}
+		h := New(table, f, func(string) {}, 0, 1, 1)
+		h.dns = dns.New(answering(func() []int { return named }), rand.New(rand.NewPCG(1, 1)), 100*time.Millisecond)
+		h.List(func() ([]policy.Listed, []string, bool, bool) {
+			e, a := listed(0, 3, policy.Running)
+			return e, a, true, true
+		}())
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan bool)
+		go func() { h.Run(ctx); close(ended) }()
+		for k := range 300 { // 30 s
+			time.Sleep(100 * time.Millisecond)
+			state := policy.State(k % 2)
+			e, a := listed(1, 2, state)
+			h.List(e, a, false, false)
+			if k%2 == 0 {
+				named = []int{1, 3, 9}
+			} else {
+				named = []int{1, 2, 3, 9}
+			}
+		}
+		if f.calls > 300+70 {
+			t.Errorf("%d calls to the core in 30 s", f.calls)
+		}
+		if len(f.has) != 4 || f.has["a1"].State != policy.Draining || h.Address("srv:10.0.0.1:9") != "10.0.0.1:9" {
+			t.Errorf("%+v", f.has)
+		}
+		e, a := listed(1, 2, policy.Gone)
+		h.List(e, a, false, false)
+		named = []int{1, 2, 3, 9}
+		time.Sleep(5 * time.Second)
+		if _, back := f.has["a1"]; back || len(f.has) != 3 {
+			t.Errorf("one that is gone is back: %+v", f.has)
+		}
+		stop()
+		<-ended
+
+		// A new life; every source is dead, but for what was written down.
+		f = newFleet()
+		h = New(table, f, func(string) {}, 0, 1, 2)
+		if len(f.has) != 3 || h.Address("srv:10.0.0.1:2") != "" || h.Address("srv:10.0.0.1:3") == "" {
+			t.Errorf("remembered: %+v", f.has)
+		}
+		e, a = listed(0, 3, policy.Running)
+		if h.List(e[:1], a[:1], true, true); f.has["a0"].ID == "" || len(f.has) != 3 {
+			t.Errorf("with the known list: %+v", f.has)
+		}
+		// And one whose state can't be read, or is not there.
+		os.WriteFile(table.State, []byte("{"), 0o600)
+		for range 2 {
+			f = newFleet()
+			if h = New(table, f, func(string) {}, 0, 1, 3); len(f.has) != 0 {
+				t.Errorf("%+v", f.has)
+			}
+			os.Remove(table.State)
+		}
+		dead := h
+		dead.dns = dns.New(answering(func() []int { return nil }), rand.New(rand.NewPCG(1, 1)), 100*time.Millisecond)
+		dead.List(e, a, true, true)
+		ctx, stop = context.WithCancel(context.Background())
+		ended = make(chan bool)
+		go func() { dead.Run(ctx); close(ended) }()
+		time.Sleep(2 * time.Hour) // longer than every lifetime
+		if n := dead.Counts(); len(f.has) != 3 || n.Failures == 0 || n.Failures > 1000 || n.Doubt[1] == "" {
+			t.Errorf("after two hours without SRV %+v, %+v", f.has, n)
+		}
+		stop()
+		<-ended
+	})
+}
+
+// With a subset the core knows that part and no more, through changes, renames of all at once and drains.
+func TestSubset(t *testing.T) {
+	table := Default()
+	table.Subset = SubsetTable{Size: 20, Least: 2}
+	f := newFleet()
+	left := 0
+	h := New(table, f, func(string) { left++ }, 3, 10, 1)
+	list := func(from, to int, state policy.State, whole bool) {
+		e, a := listed(from, to, state)
+		h.List(e, a, whole, false)
+	}
+	list(0, 500, policy.Running, true)
+	if len(f.has) < 20 || len(f.has) > 24 {
+		t.Errorf("%d of 500", len(f.has))
+	}
+	for i := range 500 {
+		list(i, i+1, policy.Draining, false)
+		if i == 250 {
+			running := 0
+			for _, e := range f.has {
+				if e.State == policy.Running {
+					running++
+				}
+			}
+			if running < 20 {
+				t.Errorf("%d run in the subset when half of the fleet drains", running)
+			}
+		}
+		list(i, i+1, policy.Gone, false)
+	}
+	list(500, 1000, policy.Running, false) // all renamed
+	if len(f.has) < 20 || len(f.has) > 24 {
+		t.Errorf("%d of 500 after all were renamed", len(f.has))
+	}
+	for id := range f.has {
+		if h.Address(id) == "" {
+			t.Errorf("%s has no address", id)
+		}
+	}
+	if left == 0 {
+		t.Error("no address was ever left")
+	}
+}
