--- a/internal/sources/dns/dns.go
+++ b/internal/sources/dns/dns.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"github.com/miekg/dns"
+	"golang.org/x/net/dns/dnsmessage"
 
 	"onyxgate/internal/sources"
 )
@@ -67,27 +67,28 @@
 // Lookup asks one server for a service's records and the addresses of its targets.
 func (r *Resolver) Lookup(ctx context.Context, server, name string) (a Answer, err error) {
 	known := map[string][]addressed{} // by target, in lower case
-	m, err := r.follow(ctx, server, name, dns.TypeSRV, known)
+	m, err := r.follow(ctx, server, name, dnsmessage.TypeSRV, known)
 	if err != nil {
 		return a, err
 	}
 	ttl := uint32(1<<32 - 1)
-	var records []*dns.SRV
-	for _, rr := range m.Answer {
-		if srv, ok := rr.(*dns.SRV); ok {
+	var records []*dnsmessage.SRVResource
+	for _, rr := range m.answers {
+		if srv, ok := rr.Body.(*dnsmessage.SRVResource); ok {
 			records = append(records, srv)
-			ttl = min(ttl, srv.Hdr.Ttl)
+			ttl = min(ttl, rr.Header.TTL)
 		}
 	}
 	if len(records) > hostsMost {
 		return a, fmt.Errorf("%w: %d records", ErrUnusable, len(records))
 	}
-	if len(records) == 0 || len(records) == 1 && records[0].Target == "." { // RFC 2782: decidedly not available here
+	// RFC 2782: a lone target "." says that the service is decidedly not available here.
+	if len(records) == 0 || len(records) == 1 && records[0].Target.String() == "." {
 		return Answer{TTL: negative(m), Negative: true}, nil
 	}
 	asks := 0
 	for _, srv := range records {
-		target := strings.ToLower(srv.Target)
+		target := strings.ToLower(srv.Target.String())
 		if target == "." {
 			continue
 		}
@@ -95,7 +96,7 @@
 			if asks++; asks > asksMost {
 				return a, fmt.Errorf("%w: more than %d targets without their addresses", ErrUnusable, asksMost)
 			}
-			for _, kind := range []uint16{dns.TypeA, dns.TypeAAAA} {
+			for _, kind := range []dnsmessage.Type{dnsmessage.TypeA, dnsmessage.TypeAAAA} {
 				if _, err := r.follow(ctx, server, target, kind, known); err != nil {
 					return a, fmt.Errorf("%s: %w", target, err)
 				}
@@ -118,6 +119,50 @@
 	return a, nil
 }
 
+// message is an answer taken apart, by x/net's package: it makes nothing at the start of an agent that looks no names up.
+type message struct {
+	dnsmessage.Header
+	questions                []dnsmessage.Question
+	answers, ns, additionals []dnsmessage.Resource
+}
+
+func read(b []byte) (m message, err error) {
+	var p dnsmessage.Parser
+	if m.Header, err = p.Start(b); err != nil {
+		return m, err
+	}
+	if m.questions, err = p.AllQuestions(); err != nil || m.Truncated { // what follows may be cut anywhere
+		return m, err
+	}
+	if m.answers, err = p.AllAnswers(); err != nil {
+		return m, err
+	}
+	if m.ns, err = p.AllAuthorities(); err != nil {
+		return m, err
+	}
+	m.additionals, err = p.AllAdditionals()
+	return m, err
+}
+
+// question packs one, with EDNS0.
+func question(id uint16, name string, kind dnsmessage.Type) (dnsmessage.Question, []byte, error) {
+	n, err := dnsmessage.NewName(name)
+	if err != nil {
+		return dnsmessage.Question{}, nil, fmt.Errorf("%.300q: %w", name, err)
+	}
+	q := dnsmessage.Question{Name: n, Type: kind, Class: dnsmessage.ClassINET}
+	var opt dnsmessage.ResourceHeader
+	if err := opt.SetEDNS0(udpSize, dnsmessage.RCodeSuccess, false); err != nil {
+		return q, nil, err
+	}
+	m := dnsmessage.Message{Header: dnsmessage.Header{ID: id, RecursionDesired: true}, Questions: []dnsmessage.Question{q},
+		Additionals: []dnsmessage.Resource{{Header: opt, Body: &dnsmessage.OPTResource{}}}}
+	packed, err := m.Pack()
+	return q, packed, err
+}
+
+func fqdn(name string) string { return strings.TrimSuffix(name, ".") + "." }
+
 // addressed is one address of a target.
 type addressed struct {
 	ip  string
@@ -126,41 +171,43 @@
 
 // follow asks a question and goes after CNAMEs, which a server should not send here and some do. Addresses that come along
 // are noted under the name that was asked for.
-func (r *Resolver) follow(ctx context.Context, server, name string, kind uint16, known map[string][]addressed) (*dns.Msg, error) {
-	asked, owner := strings.ToLower(dns.Fqdn(name)), strings.ToLower(dns.Fqdn(name))
+func (r *Resolver) follow(ctx context.Context, server, name string, kind dnsmessage.Type, known map[string][]addressed) (message,
+	error) {
+	asked := strings.ToLower(fqdn(name))
+	owner := asked
 	for range hopsMost {
 		m, err := r.ask(ctx, server, owner, kind)
 		if err != nil {
-			return nil, err
+			return m, err
 		}
 		// One answer may hold a chain: walk it as far as it goes.
 		next, found := owner, false
 		for range hopsMost {
 			before := next
-			for _, rr := range m.Answer {
-				if !strings.EqualFold(rr.Header().Name, next) {
+			for _, rr := range m.answers {
+				if !strings.EqualFold(rr.Header.Name.String(), next) {
 					continue
 				}
-				if c, ok := rr.(*dns.CNAME); ok && kind != dns.TypeCNAME {
-					next = strings.ToLower(c.Target)
+				if c, ok := rr.Body.(*dnsmessage.CNAMEResource); ok {
+					next = strings.ToLower(c.CNAME.String())
 					break
 				}
-				found = found || rr.Header().Rrtype == kind
+				found = found || rr.Header.Type == kind
 			}
 			if next == before || found {
 				break
 			}
 		}
-		for _, rr := range append(m.Answer[:len(m.Answer):len(m.Answer)], m.Extra...) {
-			at := strings.ToLower(rr.Header().Name)
-			if at == next && kind != dns.TypeSRV {
+		for _, rr := range append(m.answers[:len(m.answers):len(m.answers)], m.additionals...) {
+			at := strings.ToLower(rr.Header.Name.String())
+			if at == next && kind != dnsmessage.TypeSRV {
 				at = asked
 			}
-			switch x := rr.(type) {
-			case *dns.A:
-				known[at] = append(known[at], addressed{x.A.String(), x.Hdr.Ttl})
-			case *dns.AAAA:
-				known[at] = append(known[at], addressed{x.AAAA.String(), x.Hdr.Ttl})
+			switch x := rr.Body.(type) {
+			case *dnsmessage.AResource:
+				known[at] = append(known[at], addressed{net.IP(x.A[:]).String(), rr.Header.TTL})
+			case *dnsmessage.AAAAResource:
+				known[at] = append(known[at], addressed{net.IP(x.AAAA[:]).String(), rr.Header.TTL})
 			}
 		}
 		if found || next == owner {
@@ -168,39 +215,36 @@
 		}
 		owner = next
 	}
-	return nil, fmt.Errorf("%w: more than %d CNAMEs", ErrUnusable, hopsMost)
+	return message{}, fmt.Errorf("%w: more than %d CNAMEs", ErrUnusable, hopsMost)
 }
 
 // negative is how long a no holds: RFC 2308, the lesser of the SOA's lifetime and its minimum.
-func negative(m *dns.Msg) time.Duration {
-	for _, rr := range m.Ns {
-		if soa, ok := rr.(*dns.SOA); ok {
-			return time.Duration(min(soa.Hdr.Ttl, soa.Minttl)) * time.Second
+func negative(m message) time.Duration {
+	for _, rr := range m.ns {
+		if soa, ok := rr.Body.(*dnsmessage.SOAResource); ok {
+			return time.Duration(min(rr.Header.TTL, soa.MinTTL)) * time.Second
 		}
 	}
 	return negativeTTL
 }
 
 // ask sends one question, over TCP where the answer does not fit.
-func (r *Resolver) ask(ctx context.Context, server, name string, kind uint16) (*dns.Msg, error) {
-	q := new(dns.Msg)
-	q.SetQuestion(r.mixed(dns.Fqdn(name)), kind)
-	q.Id = uint16(r.chance.Uint32())
-	q.SetEdns0(udpSize, false)
-	m, err := r.exchange(ctx, "udp", server, q)
+func (r *Resolver) ask(ctx context.Context, server, name string, kind dnsmessage.Type) (message, error) {
+	q, packed, err := question(uint16(r.chance.Uint32()), r.mixed(fqdn(name)), kind)
+	if err != nil {
+		return message{}, err
+	}
+	m, err := r.exchange(ctx, "udp", server, q, packed)
 	if err == nil && m.Truncated {
-		r.tell("%s %s: truncated, asked again over TCP", name, dns.TypeToString[kind])
-		if m, err = r.exchange(ctx, "tcp", server, q); err == nil && m.Truncated {
+		r.tell("%s %s: truncated, asked again over TCP", name, kind)
+		if m, err = r.exchange(ctx, "tcp", server, q, packed); err == nil && m.Truncated {
 			err = fmt.Errorf("%w: truncated over TCP", ErrUnusable)
 		}
 	}
-	if err != nil {
-		return nil, err
-	}
-	if m.Rcode != dns.RcodeSuccess && m.Rcode != dns.RcodeNameError {
-		return nil, fmt.Errorf("%w: %s", ErrRefused, dns.RcodeToString[m.Rcode])
+	if err == nil && m.RCode != dnsmessage.RCodeSuccess && m.RCode != dnsmessage.RCodeNameError {
+		err = fmt.Errorf("%w: %s", ErrRefused, m.RCode)
 	}
-	return m, nil
+	return m, err
 }
 
 // mixed writes a name's letters in cases by chance: whoever answers without having read the question does not know them.
@@ -214,7 +258,8 @@
 	return string(b)
 }
 
-func (r *Resolver) exchange(ctx context.Context, network, server string, q *dns.Msg) (*dns.Msg, error) {
+func (r *Resolver) exchange(ctx context.Context, network, server string, q dnsmessage.Question, packed []byte) (m message,
+	err error) {
 	from, wait := time.Now(), r.wait
 	if network == "tcp" {
 		wait *= 2
@@ -223,20 +268,17 @@
 	defer cancel()
 	c, err := r.dial(ctx, network, server)
 	if err != nil {
-		return nil, err
+		return m, err
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
-	packed, err := q.Pack()
-	if err != nil {
-		return nil, err
-	}
 	r.Asked++
+	id := uint16(packed[0])<<8 | uint16(packed[1])
 	if network == "tcp" {
 		packed = append([]byte{byte(len(packed) >> 8), byte(len(packed))}, packed...)
 	}
 	if _, err := c.Write(packed); err != nil {
-		return nil, err
+		return m, err
 	}
 	b := make([]byte, 64<<10)
 	for range noiseMost {
@@ -247,29 +289,28 @@
 			n, err = c.Read(b)
 		}
 		if err != nil {
-			r.tell("%s %s %s at %s: %v after %v", network, q.Question[0].Name, dns.TypeToString[q.Question[0].Qtype], server, err,
+			r.tell("%s %s %s at %s: %v after %v", network, q.Name, q.Type, server, err,
 				time.Since(from).Round(time.Microsecond))
-			return nil, err
+			return m, err
 		}
-		m := new(dns.Msg)
-		if m.Unpack(b[:n]) != nil || !answers(m, q) {
+		if m, err = read(b[:n]); err != nil || !answers(m, id, q) {
 			if network == "tcp" {
-				return nil, fmt.Errorf("%w: it answers another question, or none", ErrUnusable)
+				return m, fmt.Errorf("%w: it answers another question, or none", ErrUnusable)
 			}
 			r.tell("a datagram that does not answer the question is passed over")
 			continue // late, forged or broken: the true one may still come
 		}
-		r.tell("%s %s %s at %s: %s, %d answers after %v", network, q.Question[0].Name,
-			dns.TypeToString[q.Question[0].Qtype], server, dns.RcodeToString[m.Rcode], len(m.Answer),
+		r.tell("%s %s %s at %s: %s, %d answers after %v", network, q.Name, q.Type, server, m.RCode, len(m.answers),
 			time.Since(from).Round(time.Microsecond))
 		return m, nil
 	}
-	return nil, fmt.Errorf("%w: %d datagrams that do not answer the question", ErrUnusable, noiseMost)
+	return m, fmt.Errorf("%w: %d datagrams that do not answer the question", ErrUnusable, noiseMost)
 }
 
 // answers tells that a message answers a question, to the letter.
-func answers(m, q *dns.Msg) bool {
-	return m.Response && m.Id == q.Id && m.Opcode == dns.OpcodeQuery && len(m.Question) == 1 && m.Question[0] == q.Question[0]
+func answers(m message, id uint16, q dnsmessage.Question) bool {
+	return m.Response && m.ID == id && m.OpCode == 0 && len(m.questions) == 1 && m.questions[0].Type == q.Type &&
+		m.questions[0].Class == q.Class && m.questions[0].Name.String() == q.Name.String()
 }
 
 func framed(c net.Conn, b []byte) (n int, err error) {
