The rehearsal of the record reaches pruning; changes of the fleet are counted by rule

Need: no agent lived long enough to prune, so a kill there was never met; operators want to see which rule decides. Change: segments of 16 KiB allowed and used there; onyxgate_sources_changes_by_rule_total; a test of a tail whose pages came in another order.

--- a/cmd/rehearse/record.go
+++ b/cmd/rehearse/record.go
@@ -415,7 +415,7 @@
 
 func (r rec) settings(dir string, s storeStand) (string, error) {
 	path := filepath.Join(dir, "onyxgate.toml")
-	text := fmt.Sprintf("[record]\nmode = \"spool\"\ndirectory = %q\nsegment = \"64KiB\"\ngroup_bytes = \"32KiB\"\n"+
+	text := fmt.Sprintf("[record]\nmode = \"spool\"\ndirectory = %q\nsegment = \"16KiB\"\ngroup_bytes = \"8KiB\"\n"+
 		"budget = \"64MiB\"\n\n[record.store]\nevery = \"50ms\"\ntimeout = \"1s\"\nbatch = 200\n%s", filepath.Join(dir, "spool"),
 		s.table())
 	return path, os.WriteFile(path, []byte(text), 0o600)
--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -29,6 +29,7 @@
 	"onyxgate/internal/record/keeper"
 	"onyxgate/internal/settings"
 	"onyxgate/internal/setup"
+	"onyxgate/internal/sources"
 	"onyxgate/internal/sources/host"
 	"onyxgate/policy"
 )
@@ -317,6 +318,10 @@
 	count("onyxgate_sources_negative_total", func(n host.Counts) float64 { return float64(n.Negative) })
 	count("onyxgate_sources_changes_total", func(n host.Counts) float64 { return float64(n.Changes) })
 	count("onyxgate_sources_running", func(n host.Counts) float64 { return float64(n.Running) })
+	for i, rule := range sources.Rules() {
+		count(fmt.Sprintf("onyxgate_sources_changes_by_rule_total{rule=%q}", rule),
+			func(n host.Counts) float64 { return float64(n.ByRule[i]) })
+	}
 	count(`onyxgate_sources_doubted{source="discovery"}`, doubt(0))
 	count(`onyxgate_sources_doubted{source="srv"}`, doubt(1))
 }
--- a/internal/record/keeper/table.go
+++ b/internal/record/keeper/table.go
@@ -85,7 +85,7 @@
 	if t.Mode == "memory" && t.Store.Kind == "none" {
 		wrong("record.store.kind", t.Store.Kind, "mode = \"memory\" keeps nothing without a store", `"postgres"`)
 	}
-	if t.Segment < 64<<10 {
+	if t.Segment < 16<<10 {
 		wrong("record.segment", t.Segment, "too small for a write", `"4MiB"`)
 	}
 	if t.Budget < 4*t.Segment {
--- a/internal/record/spool/spool_test.go
+++ b/internal/record/spool/spool_test.go
@@ -259,6 +259,31 @@
 	}
 }
 
+// Pages that reached the disk in another order than they were written: what is there is read, and what is not is told.
+func TestReordered(t *testing.T) {
+	m := NewMemory()
+	id, _ := life(t, m, "x", 5)
+	numbers, _ := segments(m, join("root", "n1", id))
+	name := join("root", "n1", id, segmentName(numbers[len(numbers)-1]))
+	var last, before int // where the last two frames begin
+	m.Edit(name, func(b []byte) []byte {
+		for at := 0; at < len(b); {
+			_, size, err := record.ParseFrame(b[at:])
+			if err != nil {
+				t.Fatal(err)
+			}
+			before, last = last, at
+			at += size
+		}
+		clear(b[before:last])
+		return b
+	})
+	r, got := all(t, m, id)
+	if len(r.Fold.Defects) != 2 || r.Fold.Defects[0].Kind != "spoilt" || r.Fold.Defects[1].Kind != "hole" || len(got) < 4 {
+		t.Errorf("%v, %d entries", r.Fold.Defects, len(got))
+	}
+}
+
 // A reader that follows a writer gets each row once, over turns of segments and prunes.
 func TestFollow(t *testing.T) {
 	m := NewMemory()
--- a/internal/sources/host/host.go
+++ b/internal/sources/host/host.go
@@ -89,6 +89,7 @@
 type Counts struct {
 	Lookups, Failures, Negative, Questions, Changes uint64
 	Running, Known                                  int
+	ByRule                                          [8]uint64 // changes, in the order of sources.Rules
 	Doubt                                           [2]string
 }
 
@@ -127,6 +128,8 @@
 	return h
 }
 
+var ruleNames = sources.Rules()
+
 func (h *Host) show() {
 	v := h.merge.Fleet()
 	h.view.Store(&v)
@@ -150,6 +153,7 @@
 			left = append(left, was.Address)
 		}
 		entries = append(entries, e.Listed)
+		h.counts.ByRule[slices.Index(ruleNames, e.Rule)]++
 	}
 	h.counts.Changes += uint64(len(changes))
 	h.show() // before the core: what it sends at once needs the address
--- a/internal/sources/merge.go
+++ b/internal/sources/merge.go
@@ -337,6 +337,14 @@
 
 const reserve = "reserve"
 
+// Rules are their names, in order.
+func Rules() (names []string) {
+	for _, r := range rules {
+		names = append(names, r.name)
+	}
+	return names
+}
+
 // added is what SRV can tell of an appliance, with the careful answer to what it can't.
 func added(m *Merge, id, address string) Entry {
 	c, _ := m.srv.Get(address)
