--- a/internal/sources/host/host_test.go
+++ b/internal/sources/host/host_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,9 +94,12 @@
 		table := Default()
 		table.State = filepath.Join(t.TempDir(), "state")
 		table.DNS.Name, table.DNS.Servers, table.DNS.Wait = "_r._tcp.x", []string{"s:1"}, units.Span(100*time.Millisecond)
-		f, named := newFleet(), []int{1, 2, 3, 9}
+		f := newFleet()
+		var named atomic.Pointer[[]int]
+		name := func(ports ...int) { named.Store(&ports) }
+		name(1, 2, 3, 9)
 		h := New(table, f, func(string) {}, 0, 1, 1)
-		h.dns = dns.New(answering(func() []int { return named }), rand.New(rand.NewPCG(1, 1)), 100*time.Millisecond)
+		h.dns = dns.New(answering(func() []int { return *named.Load() }), rand.New(rand.NewPCG(1, 1)), 100*time.Millisecond)
 		h.List(func() ([]policy.Listed, []string, bool, bool) {
 			e, a := listed(0, 3, policy.Running)
 			return e, a, true, true
@@ -109,11 +113,12 @@
 			e, a := listed(1, 2, state)
 			h.List(e, a, false, false)
 			if k%2 == 0 {
-				named = []int{1, 3, 9}
+				name(1, 3, 9)
 			} else {
-				named = []int{1, 2, 3, 9}
+				name(1, 2, 3, 9)
 			}
 		}
+		synctest.Wait()
 		if f.calls > 300+70 {
 			t.Errorf("%d calls to the core in 30 s", f.calls)
 		}
@@ -122,8 +127,9 @@
 		}
 		e, a := listed(1, 2, policy.Gone)
 		h.List(e, a, false, false)
-		named = []int{1, 2, 3, 9}
+		name(1, 2, 3, 9)
 		time.Sleep(5 * time.Second)
+		synctest.Wait()
 		if _, back := f.has["a1"]; back || len(f.has) != 3 {
 			t.Errorf("one that is gone is back: %+v", f.has)
 		}
@@ -156,6 +162,7 @@
 		ended = make(chan bool)
 		go func() { dead.Run(ctx); close(ended) }()
 		time.Sleep(2 * time.Hour) // longer than every lifetime
+		synctest.Wait()
 		if n := dead.Counts(); len(f.has) != 3 || n.Failures == 0 || n.Failures > 1000 || n.Doubt[1] == "" {
 			t.Errorf("after two hours without SRV %+v, %+v", f.has, n)
 		}
