One generation for each address, settled connections, and nothing unsent goes out for a client that left

Now a place is what runs at an address from one word of the list to the next; a connection belongs to its place, also one that is being dialled, and is closed with it. - upstream.go get: a second copy of an answer that comes some ms late on a connection taken again was served as the next request's answer. Now none is used within 50 ms of an answer; after a probe it is used at once, and the probe's report, should it come once more, is passed over. Send is the one place where an attempt becomes sent; a hang-up ends all that is not. What was called off before its first byte is told as never sent, which it is. - core.go Next: of two attempts wanted before the handler woke the second waited for the first one's end.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -260,6 +260,10 @@
 		if t.under = nil; len(t.mail) > 0 {
 			a := t.mail[0]
 			t.mail = t.mail[1:]
+			for a.Do == Submit && len(t.mail) > 0 && t.mail[0].Do == Submit { // none waits for another's end
+				go t.start(t.mail[0].Sub)
+				t.mail = t.mail[1:]
+			}
 			t.under = a.Sub
 			t.core.mu.Unlock()
 			t.join(&a)
@@ -323,12 +327,19 @@
 	}
 }
 
-// Hangup tells that the client has gone.
+// Hangup tells that the client has gone. What has not been written yet stays unwritten, whether or not an attempt under
+// way may be called off: nobody waits for it.
 func (t *Txn) Hangup() {
 	t.core.enter("hangup", func(now float64) {
 		if !t.over {
 			t.finish(Action{Do: Leave}, &t.core.counts.Gone)
 			t.core.agent.Hangup(now, t.ID)
+			for _, s := range t.subs {
+				if !s.over && !s.sent && !s.called {
+					s.called = true
+					s.stop()
+				}
+			}
 		}
 	})
 }
@@ -365,8 +376,9 @@
 	n         int
 	at        float64
 	over      bool
-	called    bool // off, by the module
+	called    bool // off, by the module, or before it was sent since its client has gone
 	late      bool // its time is up
+	sent      bool // its bytes may be on their way
 	halt      Halter
 }
 
@@ -379,6 +391,20 @@
 	return s.called, s.late
 }
 
+// Send is Begin for the moment at which the call's bytes go out: unless it has been called off or is late, it counts as
+// sent from here on.
+func (s *Submission) Send(halt Halter) (called, late bool) {
+	c := s.txn.core
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.called || s.late {
+		s.halt = nil
+	} else {
+		s.halt, s.sent = halt, true
+	}
+	return s.called, s.late
+}
+
 func (s *Submission) timeOut() {
 	if !s.over && !s.called {
 		s.late = true
--- /dev/null
+++ b/internal/core/crossings_test.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"onyxgate/policy"
+)
+
+// Two attempts wanted before the handler wakes go out side by side: the second waits for no end of the first.
+func TestPostedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, _ := hosted(policy.Product{}, 2)
+		started := make(chan *Submission, 2)
+		x := core.Take(core.Now(), "t", "", "", 0, false, 3000, "", func(s *Submission) { started <- s })
+		core.enter("two", func(float64) { (*port)(core).Submit("t", "s1", 0) }) // beside the module's own
+		first := x.Next()
+		synctest.Wait()
+		if first.Do != Submit || len(started) != 1 {
+			t.Fatalf("%v to carry out, %d started beside it", first.Do, len(started))
+		}
+		second := <-started
+		second.End(policy.Moot, nil, -1, -1)
+		first.Sub.End(policy.Settled, nil, -1, -1)
+		if a := x.Next(); a.Do != Settle {
+			t.Errorf("got %v", a.Do)
+		}
+		x.Close()
+		core.wake.Stop()
+	})
+}
+
+// A client's going and an attempt's sending: whichever comes first holds, whether or not attempts may be called off.
+func TestSendOrHangup(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			core := New(&calls{})
+			core.Start(func(port policy.Port) *policy.Agent {
+				a := policy.New(port, 7, 0, 1)
+				a.Serve([]policy.Product{{SLA: 1000, Expiry: 4000, Revenue: 1}}, 3, false, false)
+				return a
+			})
+			core.List([]policy.Listed{{ID: "s", Build: 1, Rating: 1}}, true, true)
+			x, h := core.Take(core.Now(), "t", "", "", 0, false, 3000, "", nil), &halted{}
+			s := x.Next().Sub
+			s.Begin(h) // it is being dialled
+			if sent {
+				s.Send(h)
+			}
+			x.Hangup()
+			called, _ := s.Begin(nil)
+			if !sent {
+				called, _ = s.Send(h)
+			}
+			if called == sent || h.at.IsZero() != sent {
+				t.Errorf("sent %v: called off %v, halted %v", sent, called, !h.at.IsZero())
+			}
+			s.End(policy.Moot, nil, -1, -1)
+			if a := x.Next(); a.Do != Leave {
+				t.Errorf("got %v", a.Do)
+			}
+			x.Close()
+			core.wake.Stop()
+		})
+	}
+}
--- a/internal/httpwire/upstream.go
+++ b/internal/httpwire/upstream.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,9 +32,13 @@
 	interims  = 8  // answers ahead of the real one
 	// An appliance writes its answer in one go, 64 KiB at most. What has begun and does not end is spoilt, on a connection
 	// that stays open for good: waiting on is waiting for nothing.
-	restWait  = 200 * time.Millisecond
-	probeWait = 500 * time.Millisecond
-	loadMost  = 1e6 // a figure in a load report beyond this is noise
+	restWait = 200 * time.Millisecond
+	// A second copy of an answer may come some milliseconds behind it. On a connection that has been used again by then it
+	// would pass for the next call's answer, so none is before this; what has come meanwhile ends it. Only a probe's
+	// connection is used at once, for a copy of its load report can be told from a request's answer.
+	settleWait = 50 * time.Millisecond
+	probeWait  = 500 * time.Millisecond
+	loadMost   = 1e6 // a figure in a load report beyond this is noise
 )
 
 // Dial opens one connection.
@@ -46,10 +51,11 @@
 	address   func(appliance string) string
 	sockets   *Sockets
 	up, idle  time.Duration
+	settle    time.Duration
 	onAnswers bool // load reports come with answers
 	onProbes  bool
 	mu        sync.Mutex
-	kept      map[string][]*conn // idle, by address, the last used at the end
+	places    map[string]*place // by address
 	dialled   int
 	Unsent    int // submissions for which no socket was left
 }
@@ -59,15 +65,25 @@
 func NewUpstream(c *core.Core, dial Dial, address func(string) string, sockets *Sockets, up, idle float64,
 	onAnswers, onProbes bool) *Upstream {
 	u := &Upstream{core: c, dial: dial, address: address, sockets: sockets, onAnswers: onAnswers, onProbes: onProbes,
-		up: time.Duration(up * 1e6), idle: time.Duration(idle * 1e6 / 2), kept: map[string][]*conn{}}
+		up: time.Duration(up * 1e6), idle: time.Duration(idle * 1e6 / 2), settle: settleWait, places: map[string]*place{}}
 	sockets.shed = u.shed
 	return u
 }
 
+// place is what runs at an address, from one list's word on it to the next: what was connected or dialled before is of
+// no use after. It lasts while a connection to it is idle, in use or coming up.
+type place struct {
+	address string
+	idle    []*conn // the last used at the end
+	out     int     // in use or coming up
+}
+
 // conn is one connection to an appliance or the platform.
 type conn struct {
 	net.Conn
 	in     *bufio.Reader
+	at     *place // of an appliance
+	report []byte // a probe's answer, where that was the last call
 	since  time.Time
 	mu     sync.Mutex
 	halted bool
@@ -102,24 +118,42 @@
 
 func (d dialling) Halt() { d() }
 
-// get takes an idle connection that still stands, the last used first, or opens one.
+// get takes an idle connection that has settled and still stands, the last used first, or opens one.
 func (u *Upstream) get(s *core.Submission, address string) (*conn, error) {
-	for {
-		u.mu.Lock()
-		list := u.kept[address]
-		if len(list) == 0 {
-			u.mu.Unlock()
-			break
+	u.mu.Lock()
+	p := u.places[address]
+	if p == nil {
+		p = &place{address: address}
+		u.places[address] = p
+	}
+	p.out++
+	for k := len(p.idle) - 1; k >= 0; k-- {
+		c := p.idle[k]
+		rested := time.Since(c.since)
+		if rested < u.settle && len(c.report) == 0 {
+			continue
 		}
-		c := list[len(list)-1]
-		u.kept[address] = list[:len(list)-1]
-		u.mu.Unlock()
+		p.idle = slices.Delete(p.idle, k, k+1)
 		// Whatever has come meanwhile, the end included, belongs to no call of ours.
-		if time.Since(c.since) < u.idle && quiet(c.Conn) {
+		if rested < u.idle && quiet(c.Conn) {
+			u.mu.Unlock()
 			return c, nil
 		}
 		c.Close()
 	}
+	u.mu.Unlock()
+	c, err := u.open(s, address)
+	if err != nil {
+		u.mu.Lock()
+		u.leave(p)
+		u.mu.Unlock()
+		return nil, err
+	}
+	c.at = p
+	return c, nil
+}
+
+func (u *Upstream) open(s *core.Submission, address string) (*conn, error) {
 	if !u.sockets.room(false) {
 		u.mu.Lock()
 		u.Unsent++
@@ -146,41 +180,76 @@
 	return newConn(u.sockets.hold(c, false)), nil
 }
 
-// put keeps a connection for the next call.
-func (u *Upstream) put(address string, c *conn) {
-	c.since = time.Now()
+// leave ends one use of a place; under the lock.
+func (u *Upstream) leave(p *place) {
+	if p.out--; p.out == 0 && len(p.idle) == 0 && u.places[p.address] == p {
+		delete(u.places, p.address)
+	}
+}
+
+// stands tells that the list has said nothing new of where a connection leads.
+func (u *Upstream) stands(c *conn) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.kept[address] = append(u.kept[address], c)
+	return u.places[c.at.address] == c.at
+}
+
+// put keeps a connection for the next call, unless something else runs there now.
+func (u *Upstream) put(c *conn) {
+	c.since = time.Now()
+	u.mu.Lock()
+	stands := u.places[c.at.address] == c.at
+	if stands {
+		c.at.idle = append(c.at.idle, c)
+	}
+	u.leave(c.at)
+	u.mu.Unlock()
+	if !stands {
+		c.Close()
+	}
+}
+
+// end closes a connection that is of no further use.
+func (u *Upstream) end(c *conn) {
+	c.Close()
+	u.mu.Lock()
+	u.leave(c.at)
+	u.mu.Unlock()
 }
 
 // shed closes the connection that has been idle longest.
 func (u *Upstream) shed() bool {
 	u.mu.Lock()
-	oldest := ""
-	for address, list := range u.kept {
-		if len(list) > 0 && (oldest == "" || list[0].since.Before(u.kept[oldest][0].since)) {
-			oldest = address
+	var oldest *place
+	for _, p := range u.places {
+		if len(p.idle) > 0 && (oldest == nil || p.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = p
 		}
 	}
-	list := u.kept[oldest]
-	if len(list) == 0 {
+	if oldest == nil {
 		u.mu.Unlock()
 		return false
 	}
-	u.kept[oldest] = list[1:]
+	c := oldest.idle[0]
+	oldest.idle = oldest.idle[1:]
+	oldest.out++
+	u.leave(oldest)
 	u.mu.Unlock()
-	list[0].Close()
+	c.Close()
 	return true
 }
 
-// Forget closes the idle connections to an address where something else runs now, or nothing.
+// Forget ends what leads to an address where something else runs now, or nothing: idle connections at once, those in use
+// or coming up with their call.
 func (u *Upstream) Forget(address string) {
 	u.mu.Lock()
-	list := u.kept[address]
-	delete(u.kept, address)
+	p := u.places[address]
+	delete(u.places, address)
 	u.mu.Unlock()
-	for _, c := range list {
+	if p == nil {
+		return
+	}
+	for _, c := range p.idle { // nobody else has the place any more
 		c.Close()
 	}
 }
@@ -197,15 +266,15 @@
 		}
 		u.mu.Lock()
 		var old []*conn
-		for address, list := range u.kept {
+		for _, p := range u.places {
 			n := 0
-			for n < len(list) && (last || time.Since(list[n].since) >= u.idle) {
+			for n < len(p.idle) && (last || time.Since(p.idle[n].since) >= u.idle) {
 				n++
 			}
-			old = append(old, list[:n]...)
-			if u.kept[address] = list[n:]; n == len(list) {
-				delete(u.kept, address)
-			}
+			old = append(old, p.idle[:n]...)
+			p.idle = p.idle[n:]
+			p.out++
+			u.leave(p)
 		}
 		u.mu.Unlock()
 		for _, c := range old {
@@ -218,8 +287,8 @@
 func (u *Upstream) Connections() (opened, idle, unsent int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, list := range u.kept {
-		idle += len(list)
+	for _, p := range u.places {
+		idle += len(p.idle)
 	}
 	return u.dialled, idle, u.Unsent
 }
@@ -253,9 +322,12 @@
 		if start, err := c.in.Peek(len(startOf)); err != nil || string(start) != startOf {
 			return reply{}, cmp.Or(err, errMalformed)
 		}
-		if r, err := c.read(); err != nil || r.status >= 200 {
-			return r, err
-		} // else an interim answer; the real one follows
+		r, err := c.read()
+		if err == nil && (r.status < 200 || len(c.report) > 0 && r.status == http.StatusOK && bytes.Equal(r.body, c.report)) {
+			continue // an interim answer, or the probe's once more; the real one follows
+		}
+		c.report = nil
+		return r, err
 	}
 	return reply{}, errMalformed
 }
@@ -415,19 +487,19 @@
 	c, err := u.get(s, address)
 	if err != nil {
 		called, _ := s.Begin(nil)
-		switch {
-		case called:
-			return policy.Revoked, reply{}
-		case errors.Is(err, errNoSocket): // the agent's own want must not pass for the appliance's
+		if called || errors.Is(err, errNoSocket) { // the agent's own want must not pass for the appliance's
 			return policy.Moot, reply{}
 		}
 		return policy.Unconnected, reply{}
 	}
-	if called, late := s.Begin(c); called || late { // not written yet: it must not go out now
-		s.Begin(nil)
-		u.put(address, c)
+	if !u.stands(c) { // what was to be called has left while this came up
+		u.end(c)
+		return policy.Moot, reply{}
+	}
+	if called, late := s.Send(c); called || late { // it must not go out now
+		u.put(c)
 		if called {
-			return policy.Revoked, reply{}
+			return policy.Moot, reply{}
 		}
 		return policy.Unconnected, reply{}
 	}
@@ -437,11 +509,13 @@
 	r, err := c.exchange(append(append(call, "m\r\n\r\n"...), body...))
 	called, late := s.Begin(nil)
 	if c.allow(0); called || late || err != nil || r.closes || c.in.Buffered() > 0 {
-		c.Close()
+		u.end(c)
 	} else {
-		u.put(address, c)
+		u.put(c)
 	}
 	switch {
+	case errors.Is(err, errUnsent) && called:
+		return policy.Moot, r
 	case err != nil && called:
 		return policy.Revoked, r
 	case errors.Is(err, errUnsent):
@@ -467,12 +541,16 @@
 	address, ok := u.address(appliance), false
 	waiting, busy := -1.0, -1.0
 	if c, err := u.get(nil, address); err == nil {
+		c.report = nil // of two probes' answers either will do
 		wait := time.AfterFunc(probeWait, c.Halt)
 		r, err := c.exchange([]byte("GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n"))
 		if c.allow(0); !wait.Stop() || err != nil || r.closes || c.in.Buffered() > 0 {
-			c.Close()
+			u.end(c)
 		} else {
-			u.put(address, c)
+			if r.status == http.StatusOK {
+				c.report = r.body
+			}
+			u.put(c)
 		}
 		if ok = err == nil && r.status == http.StatusOK; ok && u.onProbes {
 			waiting, busy = load(string(r.body))
