Lists are framed as values and taken in order; silence is noticed in time; quiet and close are one step

An empty line between lists is a sign of life, half a list is silence. - a watch was given up after 5 s of silence, with up to 2 s for connecting and head: a reopened one that was silent too, or came late, passed the 6 s at which a change counts as told.

--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -196,11 +196,13 @@
 		go a.meter.Serve(ctx, a.orders.Tables.Metrics)
 	}
 
-	server, failed := a.front.Server(), make(chan error, 1)
-	go func() { failed <- server.Serve(httpwire.Listener{Listener: a.listener, Sockets: a.budget}) }()
-	a.front.Ready()
-	logrus.Info("ready")
-	left := make(chan bool)
+	failed, hurry, left := make(chan error, 1), make(chan bool), make(chan bool)
+	go func() {
+		a.ready(hurry)
+		failed <- a.front.Server().Serve(httpwire.Listener{Listener: a.listener, Sockets: a.budget})
+	}()
+	var again <-chan time.Time // a configuration that could not be used is read once more
+	tries := 0
 	for ending := false; ; {
 		select {
 		case err := <-failed:
@@ -213,18 +215,21 @@
 			a.line()
 			logrus.Info("left")
 			return nil
+		case <-again:
+			again = a.reread(&tries)
 		case sig := <-signals:
 			switch {
 			case sig == syscall.SIGHUP:
-				a.config = reload(a.orders.File, a.config, map[string]mover{"discovery": a.discovery,
-					"pipeline.address": a.platform})
+				tries = rereadMost
+				again = a.reread(&tries)
 			case ending:
 				return errors.New("told twice to end")
 			default:
 				logrus.Info("leaving")
 				ending = true
+				close(hurry)
 				go func() {
-					a.front.Leave(ctx, server)
+					a.front.Leave(ctx, a.listener)
 					close(left)
 				}()
 			}
@@ -232,16 +237,49 @@
 	}
 }
 
+const (
+	// What discovery already has when a process starts holds for it from its first request on: requests wait in the
+	// listener's backlog for it, but no longer than this, for discovery may be down.
+	firstList = time.Second
+	// A configuration that is being written is whole a moment later.
+	rereadWait = 100 * time.Millisecond
+	rereadMost = 10
+)
+
+// ready waits until the agent may serve: discovery's list is there, has not come in time, or the agent is to leave.
+func (a *Agent) ready(hurry <-chan bool) {
+	wait := time.NewTimer(firstList)
+	defer wait.Stop()
+	select {
+	case <-hurry:
+	case <-a.discovery.First():
+	case <-wait.C:
+		logrus.Warn("discovery has told nothing yet: ready with the list of the configuration")
+	}
+	a.front.Ready()
+	logrus.Info("ready")
+}
+
+// reread reads the configuration and says when to do so again, should it not be usable.
+func (a *Agent) reread(tries *int) <-chan time.Time {
+	var err error
+	a.config, err = reload(a.orders.File, a.config, map[string]mover{"discovery": a.discovery, "pipeline.address": a.platform})
+	if *tries--; err == nil || *tries <= 0 {
+		return nil
+	}
+	return time.After(rereadWait)
+}
+
 // mover can be told another address.
 type mover interface{ Move(address string) }
 
 // reload reads the configuration anew. Only discovery's and the platform's addresses can change while it runs; what can't
 // be used changes nothing.
-func reload(file string, was gjson.Result, parts map[string]mover) gjson.Result {
+func reload(file string, was gjson.Result, parts map[string]mover) (gjson.Result, error) {
 	now, err := Read(file)
 	if err != nil {
 		logrus.WithError(err).Error("configuration not taken, the running one stays")
-		return was
+		return was, err
 	}
 	moves := logrus.Fields{}
 	for name, part := range parts {
@@ -252,7 +290,7 @@
 		}
 	}
 	logrus.WithFields(moves).Info("configuration reread")
-	return now
+	return now, nil
 }
 
 // report logs the module's own lines and, every so often, a line of counts.
--- a/internal/assembly/assembly_test.go
+++ b/internal/assembly/assembly_test.go
@@ -43,7 +43,7 @@
 		if c.text == "" {
 			os.Remove(file)
 		}
-		config = reload(file, config, map[string]mover{"discovery": discovery, "pipeline.address": platform})
+		config, _ = reload(file, config, map[string]mover{"discovery": discovery, "pipeline.address": platform})
 		if fmt.Sprint(discovery.to) != c.discovery || fmt.Sprint(platform.to) != c.platform {
 			t.Errorf("after %.80q: %v, %v", c.text, discovery.to, platform.to)
 		}
--- a/internal/httpwire/discovery.go
+++ b/internal/httpwire/discovery.go
@@ -1,8 +1,8 @@
 package httpwire
 
 // This file owns what discovery tells: the watch, whole lists, and where each appliance listens. It hands every change
-// to the module as it comes and must never hold one back, drop an appliance that is only unreachable, or wait on
-// traffic.
+// to the module as it comes, in the order in which it was taken, and must never hold one back, drop an appliance that
+// is only unreachable, or wait on traffic.
 
 import (
 	"bufio"
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -26,12 +27,15 @@
 )
 
 const (
-	controlUp   = time.Second     // for a connection to discovery or the platform to come up, and for an answer's head
-	watchSilent = 5 * time.Second // an empty line comes every 2 s
+	// For a connection to discovery or the platform to come up, and again for an answer's head: both answer at once.
+	controlUp = 500 * time.Millisecond
+	// An empty line comes every 2 s, and what a silent watch misses counts as told 6 s after it fell silent: the silence is
+	// noticed, and a second watch that stays as silent as the first, and the third stands before that.
+	watchSilent = 2500 * time.Millisecond
 	fetchWait   = 2 * time.Second // for a whole list
 	againFirst  = 100.0           // ms; the pause before a broken stream is opened again, doubled each time
 	againMost   = 1000.0          // what discovery has to tell counts as told after 4 to 6 s
-	linesMost   = 8 << 20         // a list in one line
+	listMost    = 8 << 20         // bytes of one list
 )
 
 // Discovery follows the list.
@@ -47,17 +51,27 @@
 	chance       *rand.Rand
 	asks         chan bool // true: whole list, false: the watch
 	moved        chan bool
+	first        chan struct{} // closed once discovery has told a list
+	order        chan bool     // a lock, held until the module has a list: it gets them in the order in which they were taken
 	mu           sync.RWMutex
+	moves        int // of the address
+	base         int // the move after which the list came that holds; versions compare only within one
 	version      int64
-	where        map[string]string
-	started      map[string]float64
+	where        map[string]string // by id
+	who          map[string]holder // by address
+}
+
+// holder is who runs at an address, and since when.
+type holder struct {
+	id    string
+	start float64
 }
 
 // NewDiscovery makes one; where the list is only told to those who ask, the module opens the watch.
 func NewDiscovery(c *core.Core, dial Dial, address string, zones, kinds []string, asked bool, seed uint64) *Discovery {
 	return &Discovery{core: c, dial: dial, address: address, zones: zones, kinds: kinds, asked: asked,
-		forget: func(string) {}, lost: func() {}, tell: func(entries []policy.Listed, _ []string, whole, old bool) { c.List(entries, whole, old) }, chance: policy.Chance(seed), asks: make(chan bool, 16), moved: make(chan bool, 1),
-		where: map[string]string{}, started: map[string]float64{}}
+		forget: func(string) {}, lost: func() {}, tell: func(entries []policy.Listed, _ []string, whole, old bool) { c.List(entries, whole, old) }, chance: policy.Chance(seed), asks: make(chan bool, 16), moved: make(chan bool, 1), first: make(chan struct{}), order: make(chan bool, 1),
+		where: map[string]string{}, who: map[string]holder{}}
 }
 
 // Forgetting names what is called for an address that an appliance has left.
@@ -91,10 +105,14 @@
 	}
 }
 
+// First is closed once discovery has told a list: until then the agent has only what it was started with.
+func (d *Discovery) First() <-chan struct{} { return d.first }
+
 // Move names another address; the watch there is opened at once.
 func (d *Discovery) Move(address string) {
 	d.mu.Lock()
 	d.address = address
+	d.moves++
 	d.mu.Unlock()
 	select {
 	case d.moved <- true:
@@ -102,10 +120,11 @@
 	}
 }
 
-func (d *Discovery) at() string {
+// at is where to ask, after which move, and what version is held.
+func (d *Discovery) at() (address string, moves int, version int64) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.address
+	return d.address, d.moves, d.version
 }
 
 // Run follows discovery until ctx ends.
@@ -218,27 +237,89 @@
 
 // watch reads one watch until it breaks, falls silent or tells what can't be read.
 func (d *Discovery) watch(ctx context.Context, told func()) error {
-	version, _ := d.Version()
+	address, moves, version := d.at()
 	path := fmt.Sprintf("/discovery/hosts?watch=1&after=%d", version)
-	c, resp, err := open(ctx, d.dial, d.at(), path, watchSilent)
+	c, resp, err := open(ctx, d.dial, address, path, watchSilent)
 	if err != nil {
 		return err
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	logrus.WithField("after", version).Info("watch stands")
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, linesMost)
-	for lines.Scan() {
-		c.SetReadDeadline(time.Now().Add(watchSilent))
-		if len(lines.Bytes()) > 0 {
-			if err := d.Take(lines.Bytes(), Watched, told); err != nil {
+	lists := framed(resp.Body)
+	for lists.Scan() {
+		c.SetReadDeadline(time.Now().Add(watchSilent)) // not for a part of a list: half of one is silence
+		if len(lists.Bytes()) > 0 {
+			if err := d.take(lists.Bytes(), Watched, moves, told); err != nil {
 				return err
 			}
 		}
 		told()
 	}
-	return cmp.Or(lines.Err(), errors.New("it ended"))
+	return cmp.Or(lists.Err(), errors.New("it ended"))
+}
+
+// framed cuts a stream into lists, in one line or indented; an empty line between them comes as an empty token.
+func framed(from io.Reader) *bufio.Scanner {
+	lists := bufio.NewScanner(from)
+	lists.Buffer(nil, listMost)
+	lists.Split(new(frame).split)
+	return lists
+}
+
+// frame is how far the list that is coming has been looked at.
+type frame struct {
+	at, depth       int
+	quoted, escaped bool
+}
+
+var errNoList = errors.New("something other than a list")
+
+func (f *frame) split(data []byte, end bool) (int, []byte, error) {
+	if f.depth == 0 {
+		for k, c := range data {
+			switch c {
+			case ' ', '\t', '\r':
+			case '\n':
+				return k + 1, data[:0], nil
+			case '{':
+				if k > 0 {
+					return k, nil, nil
+				}
+				return f.list(data, end)
+			default:
+				return 0, nil, fmt.Errorf("%w: %.99q", errNoList, data[k:])
+			}
+		}
+		return len(data), nil, nil
+	}
+	return f.list(data, end)
+}
+
+func (f *frame) list(data []byte, end bool) (int, []byte, error) {
+	for ; f.at < len(data); f.at++ {
+		switch c := data[f.at]; {
+		case f.escaped:
+			f.escaped = false
+		case f.quoted && c == '\\':
+			f.escaped = true
+		case c == '"':
+			f.quoted = !f.quoted
+		case f.quoted:
+		case c == '{' || c == '[':
+			f.depth++
+		case c == '}' || c == ']':
+			if f.depth--; f.depth == 0 {
+				n := f.at + 1
+				*f = frame{}
+				return n, data[:n], nil
+			}
+		}
+	}
+	if end {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+	return 0, nil, nil
 }
 
 // open connects, asks and reads the answer's head; the body is read from the answer, which silence ends.
@@ -269,15 +350,19 @@
 
 // fetch asks for the whole list once.
 func (d *Discovery) fetch(ctx context.Context) {
-	c, resp, err := open(ctx, d.dial, d.at(), "/discovery/hosts", fetchWait)
+	address, moves, _ := d.at()
+	c, resp, err := open(ctx, d.dial, address, "/discovery/hosts", fetchWait)
 	if err == nil {
 		defer c.Close()
-		lines := bufio.NewScanner(resp.Body)
-		lines.Buffer(nil, linesMost)
-		if lines.Scan() {
-			err = d.Take(lines.Bytes(), Fetched, func() {})
+		lists := framed(resp.Body)
+		more := lists.Scan()
+		for more && len(lists.Bytes()) == 0 {
+			more = lists.Scan()
+		}
+		if more {
+			err = d.take(lists.Bytes(), Fetched, moves, func() {})
 		} else {
-			err = errors.New("an empty answer")
+			err = cmp.Or(lists.Err(), errors.New("an empty answer"))
 		}
 	}
 	if err != nil && ctx.Err() == nil {
@@ -297,6 +382,14 @@
 
 // Take hands one list or change to the module, whole or not at all; told is called once it is seen to be readable.
 func (d *Discovery) Take(text []byte, from Source, told func()) error {
+	_, moves, _ := d.at()
+	return d.take(text, from, moves, told)
+}
+
+var errCounts = errors.New("it counts otherwise than the one before")
+
+// take is Take for a list from the address that held after so many moves.
+func (d *Discovery) take(text []byte, from Source, moves int, told func()) error {
 	if !gjson.ValidBytes(text) || !utf8.Valid(text) {
 		return errors.New("a list that can't be read")
 	}
@@ -314,46 +407,64 @@
 		}
 		entries, addresses = append(entries, entry), append(addresses, address)
 	}
+	d.order <- true
+	defer func() { <-d.order }()
 	told()
 	d.mu.Lock()
-	// A watch tells in order, and a whole list on it starts anew: a discovery that lost its count begins with one.
-	if version.Int() < d.version && from != Known && !(whole && from == Watched) {
+	// A watch tells in order, and a whole list on it starts anew: a discovery that lost its count begins with one. What
+	// comes from an address that was left is over once the one that follows has told something.
+	older := version.Int() < d.version
+	if moves < d.base || moves == d.base && older && from != Known && !(whole && from == Watched) {
+		held := d.version
 		d.mu.Unlock()
+		logrus.WithFields(logrus.Fields{"version": version.Int(), "held": held, "whole": whole}).Info("list passed over")
 		return nil
 	}
-	d.version = version.Int()
-	left := map[string]bool{}
+	counts := moves > d.base && older && !whole // what it left out between its count and ours can't be known
+	d.base, d.version = moves, version.Int()
+	if counts {
+		d.version = 0
+	}
+	left := map[string]bool{} // addresses at which something else runs now, or nothing
+	before := d.who
 	if whole {
-		for _, address := range d.where {
+		for address := range before {
 			left[address] = true
 		}
-		clear(d.where)
+		d.where, d.who = map[string]string{}, map[string]holder{}
 	}
 	for k, e := range entries {
-		address := addresses[k]
-		if was := d.where[e.ID]; was != "" && (was != address || d.started[e.ID] != e.Start || e.State == policy.Gone) {
+		address, now := addresses[k], holder{e.ID, e.Start}
+		if was, ok := d.where[e.ID]; ok && d.who[was].id == e.ID && (was != address || e.State == policy.Gone) {
 			left[was] = true
+			delete(d.who, was)
 		}
 		if e.State == policy.Gone {
 			delete(d.where, e.ID)
-			delete(d.started, e.ID)
 			continue
 		}
-		if d.started[e.ID] == e.Start {
-			delete(left, address)
-		}
-		d.where[e.ID], d.started[e.ID] = address, e.Start
-	}
-	for id := range d.started {
-		if d.where[id] == "" {
-			delete(d.started, id)
+		if was, ok := before[address]; ok {
+			left[address] = was != now || left[address] && !whole
 		}
+		d.where[e.ID], d.who[address] = address, now
 	}
 	d.mu.Unlock()
-	for address := range left {
-		d.forget(address)
+	for address, gone := range left {
+		if gone {
+			d.forget(address)
+		}
 	}
 	d.tell(entries, addresses, whole, from == Known)
+	if from != Known {
+		select {
+		case <-d.first:
+		default:
+			close(d.first)
+		}
+	}
+	if counts { // taken, for it is the newest word; the next watch asks for all
+		return errCounts
+	}
 	return nil
 }
 
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -109,13 +109,19 @@
 		w.Header().Set("Connection", "close")
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	// The client's time runs from when it sent, and a head may come in pieces.
+	coming := f.sockets.Coming(conn)
+	if r.ContentLength == 0 {
+		f.sockets.Whole(conn)
+	}
 	if path == "/up" && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		if !f.ready.Load() || f.killAt.Load() != 0 {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 		return
 	}
-	f.txn(w, r, path)
+	f.txn(w, r, path, f.core.Now()-float64(coming)/1e6)
 }
 
 // complaints are the server's own, mostly of clients that break off.
@@ -126,9 +132,8 @@
 	return len(line), nil
 }
 
-// txn is the life of one txn, from its first byte to its one answer.
-func (f *Front) txn(w http.ResponseWriter, r *http.Request, path string) {
-	came := f.core.Now()
+// txn is the life of one txn, which began to come at came, to its one answer.
+func (f *Front) txn(w http.ResponseWriter, r *http.Request, path string, came float64) {
 	f.active.Add(1)
 	f.lastAt.Store(time.Now().UnixNano())
 	defer func() {
@@ -193,8 +198,9 @@
 	body := make([]byte, r.ContentLength)
 	if len(body) > 0 {
 		limits := http.NewResponseController(w)
-		wait := min(time.Duration(left*1e6), bodyWait)
-		if c, ok := r.Context().Value(connKey{}).(*counted); ok && !c.served {
+		wait := min(time.Duration((came+left-f.core.Now())*1e6), bodyWait)
+		c, _ := r.Context().Value(connKey{}).(*counted)
+		if c != nil && !c.served {
 			wait = min(wait, newWait-time.Since(c.born))
 		}
 		limits.SetReadDeadline(time.Now().Add(wait))
@@ -203,6 +209,7 @@
 			return
 		}
 		limits.SetReadDeadline(time.Time{})
+		f.sockets.Whole(c)
 	}
 	defer f.bodies.Add(-int64(len(body)))
 	full := ""
@@ -212,7 +219,7 @@
 	}
 
 	if at := f.killAt.Load(); at != 0 { // what the kill finds without an answer is lost
-		left = min(left, float64(at-int64(leaveAnswer)-time.Now().UnixNano())/1e6)
+		left = min(left, f.core.Now()-came+float64(at-int64(leaveAnswer)-time.Now().UnixNano())/1e6)
 	}
 	first := head(r, len(body))
 	submit := func(s *core.Submission) { f.up.Submit(s, first, body) }
@@ -346,7 +353,7 @@
 // Leave serves what is there and what still comes, and returns once nothing does: connections arrive for a while
 // after the signal, and clients use those that they hold for as long as these stay open. They do so until the kill is
 // near: the next agent may be away just then, and clients that were sent off would find nobody.
-func (f *Front) Leave(ctx context.Context, server *http.Server) {
+func (f *Front) Leave(ctx context.Context, listener net.Listener) {
 	from := time.Now()
 	f.killAt.Store(from.Add(f.kill).UnixNano())
 	f.core.Leave()
@@ -365,5 +372,14 @@
 			break
 		}
 	}
-	server.Shutdown(ctx)
+	// No new connection from here on. One that is still there has begun to send: it is waited for till the kill is near, for
+	// closing it could cross the request's last byte.
+	f.closing.Store(true)
+	listener.Close()
+	for tick := time.NewTicker(20 * time.Millisecond); ctx.Err() == nil && time.Since(from) < f.kill-leaveRest; <-tick.C {
+		f.sockets.CloseIdle()
+		if _, clients, _ := f.sockets.Used(); clients == 0 {
+			break
+		}
+	}
 }
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -633,11 +633,11 @@
 			after   time.Duration
 			want    string
 		}{
-			{"", 500 * time.Millisecond, "map[b:0 c:0 control:1 e:0 list:1]"},
-			{"b", 500 * time.Millisecond, "map[b:1 c:0 control:1 e:0 list:1]"}, // accepts and tells nothing
-			{"nowhere", 500 * time.Millisecond, "map[b:0 c:0 control:1 e:0 list:1]"},
-			{"c", 500 * time.Millisecond, "map[b:0 c:1 control:1 e:0 list:0]"},
-			{"e", 500 * time.Millisecond, "map[b:0 c:1 control:0 e:1 list:0]"},
+			{"", controlUp / 2, "map[b:0 c:0 control:1 e:0 list:1]"},
+			{"b", controlUp / 2, "map[b:1 c:0 control:1 e:0 list:1]"}, // accepts and tells nothing
+			{"nowhere", controlUp / 2, "map[b:0 c:0 control:1 e:0 list:1]"},
+			{"c", controlUp / 2, "map[b:0 c:1 control:1 e:0 list:0]"},
+			{"e", controlUp / 2, "map[b:0 c:1 control:0 e:1 list:0]"},
 		} {
 			if c.address == "e" {
 				p.Move(c.address)
@@ -790,7 +790,7 @@
 		a.front.sockets.Idle(kept, false)
 		from, left := time.Now(), make(chan time.Duration, 1)
 		go func() {
-			a.front.Leave(context.Background(), a.front.Server())
+			a.front.Leave(context.Background(), make(pipes))
 			left <- time.Since(from)
 		}()
 		for _, c := range []struct {
@@ -822,7 +822,7 @@
 		a.close()
 		b := newAgent(network{}, NewSockets(0))
 		from = time.Now()
-		b.front.Leave(context.Background(), b.front.Server())
+		b.front.Leave(context.Background(), make(pipes))
 		if took := time.Since(from); took > leaveOpen+50*time.Millisecond {
 			t.Errorf("left after %v though nobody was connected", took)
 		}
--- /dev/null
+++ b/internal/httpwire/lists_test.go
@@ -0,0 +1,210 @@
+package httpwire
+
+// What crosses on the way of a list: frames, silences, order, moves.
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"onyxgate/policy"
+)
+
+// Lists come in one line or indented, on streams that cut them anywhere; empty lines between them are signs of life, and a
+// list that stops half way is none.
+func TestFramed(t *testing.T) {
+	line := `{"a":"}\"{","b":[1,{"c":2}]}`
+	for _, c := range []struct{ text, want string }{
+		{line + "\n\n" + line + "\n", line + "|||" + line + "||"},
+		{"\n\r\n{\n  \"a\": [\n\n    1\n  ]\n}\n\n", "||{\n  \"a\": [\n\n    1\n  ]\n}|||"},
+		{"  " + line + line, line + "|" + line + "|"},
+		{line + "\n{\"a\":\n", line + "||unexpected EOF"},
+		{"no list\n", `something other than a list: "no list\n"`},
+		{"[1]\n", `something other than a list: "[1]\n"`},
+		{"\n" + line[:len(line)-1], "|unexpected EOF"},
+	} {
+		for _, step := range []int{1, 3, 1000} {
+			lists, got := framed(&chopped{c.text, step}), ""
+			for lists.Scan() {
+				got += lists.Text() + "|"
+			}
+			if err := lists.Err(); err != nil {
+				got += err.Error()
+			}
+			if want := c.want; got != want && !(step < 1000 && strings.HasPrefix(want, "something") && strings.HasPrefix(got, want[:27])) {
+				t.Errorf("%q by %d: %q, want %q", c.text, step, got, want)
+			}
+		}
+	}
+}
+
+type chopped struct {
+	text string
+	step int
+}
+
+func (c *chopped) Read(b []byte) (int, error) {
+	if c.text == "" {
+		return 0, io.EOF
+	}
+	n := copy(b, c.text[:min(c.step, len(c.text))])
+	c.text = c.text[n:]
+	return n, nil
+}
+
+// An indented list reaches the agent by the watch, also where the whole list is fetched.
+func TestIndented(t *testing.T) {
+	list := "{\n \"version\": 9,\n \"full\": true,\n \"servers\": [\n  {\"id\": \"u\", \"addr\": \"u:1\", \"state\": \"Ready\",\n" +
+		"   \"version_no\": 1}\n ]\n}\n"
+	for _, whole := range []bool{false, true} {
+		d := newAppliance(t)
+		a := newAgent(network{}, NewSockets(0))
+		a.disc.dial, a.disc.address = tcp, d.at()
+		ctx, cancel := context.WithCancel(context.Background())
+		if whole {
+			go a.disc.fetch(ctx)
+		} else {
+			go a.disc.Run(ctx)
+		}
+		p := <-d.conns
+		p.call()
+		fmt.Fprintf(p, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(list), list)
+		<-a.disc.First()
+		if a.disc.Address("u") != "u:1" {
+			t.Error("not taken")
+		}
+		cancel()
+		p.Close()
+	}
+}
+
+// What a silent watch misses counts as told 6 s after the silence began. It is made up before that, also where the first
+// reopening fails, or where it comes up and is as silent.
+func TestSilence(t *testing.T) {
+	change := told(6, false, `{"id":"u","addr":"u:1","state":"Ready","version_no":1}`) + "\n"
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	for _, c := range []struct {
+		name   string
+		second func(net.Conn)
+	}{
+		{"stands at once", nil},
+		{"refused", func(c net.Conn) {}},
+		{"takes the call and says nothing", func(c net.Conn) { io.Copy(io.Discard, c) }},
+		{"a head and nothing more", func(c net.Conn) { stays(head)(c) }},
+		{"half a list", func(c net.Conn) { stays(head + chunk(change[:30]))(c) }},
+		{"a part of a head", func(c net.Conn) { stays(head[:9])(c) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				opened, silentAt := 0, time.Now()
+				n := network{"list": func(p net.Conn) {
+					opened++
+					switch {
+					case opened == 1:
+						stays(head + chunk("\n"))(p)
+					case opened == 2 && c.second != nil:
+						c.second(p)
+					default:
+						stays(head + chunk(change))(p)
+					}
+				}}
+				a := newAgent(n, NewSockets(0))
+				ctx, cancel := context.WithCancel(context.Background())
+				go a.disc.Run(ctx)
+				<-a.disc.First()
+				if late := time.Since(silentAt); late >= 5800*time.Millisecond {
+					t.Errorf("made up after %v", late)
+				}
+				cancel()
+				a.close()
+			})
+		})
+	}
+}
+
+// Lists reach the module in the order in which they were taken, whoever took them.
+func TestListOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAgent(network{}, NewSockets(0))
+		var got []int
+		inside, on := make(chan bool, 1), make(chan bool)
+		a.disc.Telling(func(entries []policy.Listed, _ []string, _, _ bool) {
+			if entries[0].Build == 2 {
+				inside <- true
+				<-on
+			}
+			got = append(got, entries[0].Build)
+		}, func() {})
+		entry := `{"id":"s","addr":"app:1","state":"Ready","version_no":%d}`
+		done := make(chan bool, 2)
+		for version := 2; version <= 3; version++ {
+			go func() {
+				a.disc.Take([]byte(told(version, false, fmt.Sprintf(entry, version))), Watched, func() {})
+				done <- true
+			}()
+			synctest.Wait() // the first is on its way to the module, and the second has come as far as it can
+		}
+		<-inside
+		close(on)
+		<-done
+		<-done
+		if fmt.Sprint(got) != "[2 3]" {
+			t.Errorf("the module got %v", got)
+		}
+		a.close()
+	})
+}
+
+// Discovery moves: what the address that was left still tells, a count that starts lower, and one that skips.
+func TestMovedLists(t *testing.T) {
+	entry := func(id string) string {
+		return `{"id":"` + id + `","addr":"` + id + `:1","state":"Ready","version_no":1}`
+	}
+	type one struct {
+		moves   int
+		version int
+		whole   bool
+		id      string
+		taken   bool
+		failed  bool
+	}
+	for _, c := range []struct {
+		name  string
+		lists []one
+		held  int64
+	}{
+		{"the old one goes on until the new one tells", []one{{0, 6, false, "u", true, false}, {1, 7, false, "v", true, false},
+			{0, 8, false, "w", false, false}}, 7},
+		{"a whole list of the old one after the new one", []one{{1, 7, false, "v", true, false}, {0, 9, true, "w", false, false}}, 7},
+		{"the new one starts lower, whole", []one{{1, 2, true, "v", true, false}, {1, 3, false, "w", true, false},
+			{0, 9, false, "x", false, false}}, 3},
+		{"the new one starts lower with a change: all is asked for", []one{{1, 2, false, "v", true, true},
+			{1, 3, true, "w", true, false}}, 3},
+		{"twice moved", []one{{2, 3, true, "v", true, false}, {1, 9, true, "w", false, false}}, 3},
+		{"no move, an older change", []one{{0, 3, false, "v", false, false}}, 5},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			a := newAgent(network{}, NewSockets(0))
+			a.disc.Take([]byte(told(5, true, entry("s"))), Watched, func() {})
+			for _, l := range c.lists {
+				err := a.disc.take([]byte(told(l.version, l.whole, entry(l.id))), Watched, l.moves, func() {})
+				if taken := a.disc.Address(l.id) != ""; taken != l.taken || (err != nil) != l.failed {
+					t.Errorf("%s: version %d of move %d taken %v, %v", c.name, l.version, l.moves, taken, err)
+				}
+				if _, _, version := a.disc.at(); l.failed && version != 0 {
+					t.Errorf("%s: the next watch asks from %d on", c.name, version)
+				}
+			}
+			if version, _ := a.disc.Version(); version != c.held {
+				t.Errorf("%s: version %d held", c.name, version)
+			}
+			a.close()
+		})
+	}
+}
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -7,6 +7,7 @@
 import (
 	"container/list"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -112,8 +113,9 @@
 			return false
 		}
 		s.busy(c)
+		c.shed = quiet(c) // under the lock: nothing is read of it from here on
 		s.mu.Unlock()
-		if quiet(c) {
+		if c.shed {
 			c.Close()
 			return true
 		}
@@ -126,8 +128,10 @@
 	if c, ok := conn.(*counted); ok {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if c.place == nil && !c.closed {
-			if c.among, c.served = s.idle, !silent; silent {
+		c.served = !silent
+		// A server that looks whether its client has gone may have read on already: then it rests no more.
+		if c.fresh && c.place == nil && !c.closed {
+			if c.among = s.idle; silent {
 				c.among = s.silent
 			}
 			c.place, c.since = c.among.PushBack(c), time.Now()
@@ -135,6 +139,15 @@
 	}
 }
 
+// Whole tells that a request has been read to its end: what comes from here on belongs to the next one.
+func (s *Sockets) Whole(conn net.Conn) {
+	if c, ok := conn.(*counted); ok {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c.fresh, c.began = true, time.Time{}
+	}
+}
+
 func (s *Sockets) Busy(conn net.Conn) {
 	if c, ok := conn.(*counted); ok {
 		s.mu.Lock()
@@ -164,33 +177,94 @@
 	if client {
 		s.clients++
 	}
-	return &counted{Conn: conn, sockets: s, client: client, born: time.Now()}
+	c := &counted{Conn: conn, sockets: s, client: client, fresh: true, born: time.Now()}
+	if socket, ok := conn.(syscall.Conn); ok && client {
+		c.raw, _ = socket.SyscallConn()
+	}
+	return c
 }
 
 type counted struct {
 	net.Conn
 	sockets *Sockets
+	raw     syscall.RawConn // of a client's socket
 	client  bool
 	closed  bool
-	served  bool // a txn has come on it before
+	shed    bool      // nothing had come of the next request, and nothing is read any more
+	fresh   bool      // nothing has come of the next request
+	began   time.Time // when it began to come; zero: unseen
+	served  bool      // a txn has come on it before
 	born    time.Time
 	among   *list.List // silent or idle
 	place   *list.Element
 	since   time.Time
 }
 
-// Read ends a rest: what has begun to come may be whole by the time that a close arrives, and a txn lost.
-func (c *counted) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if c.client && n > 0 {
-		s := c.sockets
+// Read ends a rest: what has begun to come may be whole by the time that a close arrives, and a request lost. Bytes leave
+// a client's socket under the lock under which it is seen to be quiet and given up: one of the two comes first.
+func (c *counted) Read(b []byte) (n int, err error) {
+	if !c.client {
+		return c.Conn.Read(b)
+	}
+	s := c.sockets
+	if c.raw == nil {
+		n, err = c.Conn.Read(b)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if c.among == s.idle {
-			s.busy(c)
+		s.began(c, n)
+		return n, err
+	}
+	failed := c.raw.Read(func(fd uintptr) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if c.shed {
+			n, err = 0, net.ErrClosed
+			return true
+		}
+		for {
+			if n, err = syscall.Read(int(fd), b); err != syscall.EINTR {
+				break
+			}
 		}
+		s.began(c, n)
+		return err != syscall.EAGAIN
+	})
+	switch {
+	case failed != nil:
+		return 0, failed
+	case err != nil:
+		return 0, err
+	case n == 0 && len(b) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// began notes that n bytes have come; under the lock.
+func (s *Sockets) began(c *counted, n int) {
+	if n <= 0 {
+		return
+	}
+	if c.fresh {
+		c.fresh, c.began = false, time.Now()
+	}
+	if c.among == s.idle {
+		s.busy(c)
+	}
+}
+
+// Coming is how long the request that is being read has been coming, as far as it was seen.
+func (s *Sockets) Coming(conn net.Conn) time.Duration {
+	c, ok := conn.(*counted)
+	if !ok {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.began.IsZero() {
+		return 0
 	}
-	return n, err
+	return time.Since(c.began)
 }
 
 func (c *counted) Close() error {
