--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -112,7 +112,7 @@
 		}
 		a.core.Join(a.keeper)
 	}
-	if a.listener, err = net.Listen("tcp", a.told(o.Listen, "listen")); err != nil {
+	if a.listener, err = listen(a.told(o.Listen, "listen")); err != nil {
 		return nil, err
 	}
 	a.budget = httpwire.NewSockets(sockets)
@@ -155,6 +155,22 @@
 	return a, nil
 }
 
+const (
+	// The process before this one may hold the address for a moment more.
+	listenMost  = 10 * time.Second
+	listenPause = 50 * time.Millisecond
+)
+
+// listen opens the listener, as soon as nobody else has its address.
+func listen(address string) (net.Listener, error) {
+	for from := time.Now(); ; time.Sleep(listenPause) {
+		l, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(from) > listenMost {
+			return l, err
+		}
+	}
+}
+
 // limits holds the program to what the configuration allows it.
 func (a *Agent) limits() (sockets, memoryMB int) {
 	sockets, memoryMB = setup.Limits(a.config)
--- a/internal/assembly/crossings_test.go
+++ b/internal/assembly/crossings_test.go
@@ -373,3 +373,30 @@
 		})
 	}
 }
+
+// An agent that starts while the one before it still holds its address waits for it.
+func TestAddressHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make(chan error, 1)
+		try := func(address string) {
+			l, err := listen(address)
+			if err == nil {
+				l.Close()
+			}
+			got <- err
+		}
+		go try(before.Addr().String())
+		synctest.Wait() // it has tried
+		before.Close()
+		if err := <-got; err != nil {
+			t.Error(err)
+		}
+		if try("no address"); <-got == nil {
+			t.Error("no address, and it listens")
+		}
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,11 +86,16 @@
 	return n
 }
 
-// Leave ends the votes: what an agent that goes has seen is no longer its to judge by.
-func (c *Core) Leave() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.leaving = true
+// Leave ends the votes: what an agent that goes has seen is no longer its to judge by. What is held now has its answer by
+// the time that is left.
+func (c *Core) Leave(by float64) {
+	c.enter("leave", func(now float64) {
+		c.leaving = true
+		for _, t := range c.txns {
+			t.Expiry = min(t.Expiry, by)
+		}
+		c.agent.Leave(now, by)
+	})
 }
 
 // enter hands one event to the module with the time read under the lock. A panic there must cost one event, not all
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -144,7 +144,7 @@
 		x.Close()
 		core.News(2, 0, policy.OnTrial, policy.Unasked, 0.1, 0, true)
 		core.List([]policy.Listed{{ID: "n", Build: 2, Rating: 1, Start: core.Now()}}, false, false)
-		core.Leave()
+		core.Leave(core.Now() + 60000)
 		time.Sleep(20 * time.Second)
 		if does.voted != 0 {
 			t.Error("voted while leaving")
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"onyxgate/policy"
 )
@@ -64,3 +65,34 @@
 		})
 	}
 }
+
+// What is held when the agent is told to end has its answer before the kill, whatever time its client gave: one that is tried
+// and one that waits for a place alike.
+func TestLeaveHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, _ := hosted(policy.Product{Effect: policy.OnceOnly}, 1)
+		from := time.Now()
+		tried := core.Take(core.Now(), "t", "", "", 0, false, 9000, "", nil)
+		tried.Next()
+		var waits []*Txn
+		for _, id := range []string{"u", "v", "w", "x", "y"} {
+			waits = append(waits, core.Take(core.Now(), id, "", "", 0, false, 9000, "", nil))
+		}
+		core.Leave(core.Now() + 700)
+		for _, x := range append(waits, tried) {
+			a := x.Next()
+			for ; a.Do == Submit; a = x.Next() {
+			}
+			if took := time.Since(from); a.Do != Decline && a.Do != Void || took > 700*time.Millisecond {
+				t.Errorf("%s: %v after %v", x.ID, a.Do, took)
+			}
+			for _, s := range x.subs {
+				if !s.over {
+					s.End(policy.Revoked, nil, -1, -1)
+				}
+			}
+			x.Close()
+		}
+		core.wake.Stop()
+	})
+}
--- a/internal/httpwire/crossings_test.go
+++ b/internal/httpwire/crossings_test.go
@@ -415,3 +415,87 @@
 		})
 	}
 }
+
+// A head in pieces has the time of a body on a connection that has been served; on a new one a close is owed soon.
+func TestSlowHead(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			a := newAgent(network{"app:1": func(c net.Conn) {
+				p := &peer{c, bufio.NewReader(c)}
+				for _, _, err := p.call(); err == nil; _, _, err = p.call() {
+					p.say("body")
+				}
+			}}, NewSockets(0))
+			in := make(pipes, 1)
+			server := a.front.Server()
+			done := make(chan bool)
+			go func() { server.Serve(Listener{in, a.front.sockets}); close(done) }()
+			here, there := net.Pipe()
+			in <- there
+			client := &peer{here, bufio.NewReader(here)}
+			if served {
+				io.WriteString(here, good)
+				client.answer(t)
+			}
+			text := strings.Replace(get("r2"), "2000m", "5000m", 1)
+			io.WriteString(here, text[:30])
+			from := time.Now()
+			go func() {
+				time.Sleep(3 * time.Second)
+				io.WriteString(here, text[30:])
+			}()
+			r, err := http.ReadResponse(client.in, nil)
+			took := time.Since(from)
+			if served && (err != nil || r.StatusCode != 200) {
+				t.Errorf("served before: %v after %v", err, took)
+			}
+			if !served && (took > headWait || err == nil && r.StatusCode < 400) {
+				t.Errorf("new: %v, %v after %v", r, err, took)
+			}
+			here.Close()
+			server.Close()
+			<-done
+			a.close()
+		})
+	}
+}
+
+// A reply to a vote that comes twice is not the next vote's.
+func TestSecondReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reply := func(build int) string {
+			xml := fmt.Sprintf("<Response><groups><item><release>%d</release><tranche>0</tranche><mode>canary</mode>"+
+				"<exposure>0.5</exposure><old_ms>1</old_ms></item></groups></Response>", build)
+			return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(xml), xml)
+		}
+		conns := 0
+		n := network{"control": func(c net.Conn) {
+			conns++
+			in := bufio.NewReader(c)
+			for k := conns; ; k++ {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				if k > conns { // the reply before this one, once more
+					k--
+				}
+				io.WriteString(c, reply(k))
+			}
+		}}
+		a := newAgent(n, NewSockets(0))
+		p := NewPlatform(a.core, n.dial, "control", 800, 1)
+		for want := 1; want <= 2; want++ {
+			got, leaf, err := p.cast(context.Background(), ballot{want, policy.On, 0})
+			if err != nil || got != policy.Counted || leaf("release") != fmt.Sprint(want) {
+				t.Errorf("vote %d: reply %v, build %s, %v", want, got, leaf("release"), err)
+			}
+		}
+		if conns != 2 {
+			t.Errorf("%d connections", conns)
+		}
+		p.conn.Close()
+		a.close()
+	})
+}
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -28,9 +28,9 @@
 	// A bad client is owed an error or a close 3 s after it connected, and some of that may have been spent in the backlog.
 	// Slow clients send theirs in pieces: they have all of it, and once one has been served, a txn's body has the client's
 	// own time up to bodyWait.
-	headWait = 2500 * time.Millisecond
+	headWait = 2500 * time.Millisecond // from connecting
 	newWait  = 2800 * time.Millisecond // head and body, from connecting
-	bodyWait = 5 * time.Second
+	bodyWait = 5 * time.Second         // and a later head, from its first byte
 	// A connection without a txn may be closed after 2 s; each that says nothing for good would hold a descriptor.
 	idleWait = 2500 * time.Millisecond
 	idMost   = 256
@@ -89,7 +89,7 @@
 
 // Server is the net/http server that drives the front.
 func (f *Front) Server() *http.Server {
-	return &http.Server{Handler: f, ReadHeaderTimeout: headWait, IdleTimeout: idleWait, MaxHeaderBytes: headMost,
+	return &http.Server{Handler: f, ReadHeaderTimeout: bodyWait, IdleTimeout: idleWait, MaxHeaderBytes: headMost,
 		DisableGeneralOptionsHandler: true, // it would answer 200 to what no client of ours sends
 		ErrorLog:                     log.New(complaints{}, "", 0),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -110,6 +110,9 @@
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	if c, ok := conn.(*counted); ok {
+		c.headed = true
+	}
 	// The client's time runs from when it sent, and a head may come in pieces.
 	coming := f.sockets.Coming(conn)
 	if r.ContentLength == 0 {
@@ -356,7 +359,7 @@
 func (f *Front) Leave(ctx context.Context, listener net.Listener) {
 	from := time.Now()
 	f.killAt.Store(from.Add(f.kill).UnixNano())
-	f.core.Leave()
+	f.core.Leave(f.core.Now() + float64(f.kill-leaveAnswer)/1e6)
 	for tick := time.NewTicker(20 * time.Millisecond); ctx.Err() == nil; <-tick.C {
 		since := time.Since(from)
 		if since < leaveOpen {
--- a/internal/httpwire/platform.go
+++ b/internal/httpwire/platform.go
@@ -207,7 +207,9 @@
 	ctx, cancel := context.WithTimeout(ctx, p.wait)
 	defer cancel()
 	address := p.at()
-	if c := p.conn; c != nil && (time.Since(c.since) > votesIdle || p.connAt != address || !quiet(c.Conn)) {
+	// An answer's second copy may still be on its way, and would pass for this vote's.
+	if c := p.conn; c != nil && (time.Since(c.since) > votesIdle || time.Since(c.since) < settleWait || p.connAt != address ||
+		!quiet(c.Conn)) {
 		c.Close()
 		p.conn = nil
 	}
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -194,6 +194,7 @@
 	fresh   bool      // nothing has come of the next request
 	began   time.Time // when it began to come; zero: unseen
 	served  bool      // a txn has come on it before
+	headed  bool      // the first one's head has come
 	born    time.Time
 	among   *list.List // silent or idle
 	place   *list.Element
@@ -267,6 +268,15 @@
 	return time.Since(c.began)
 }
 
+// SetReadDeadline gives the head of a connection's first request less time than the server allows any other: a bad client is
+// owed a close soon, and one that has been served is none.
+func (c *counted) SetReadDeadline(t time.Time) error {
+	if most := c.born.Add(headWait); c.client && !c.served && !c.headed && t.After(most) {
+		t = most
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 func (c *counted) Close() error {
 	err := c.Conn.Close()
 	s := c.sockets
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -765,6 +766,18 @@
 	a.settle()
 }
 
+// Leave: the agent ends, and whatever it holds has its final answer by then.
+func (a *Agent) Leave(now, by float64) {
+	a.at(now)
+	for _, id := range slices.Sorted(maps.Keys(a.txns)) {
+		if t := a.txns[id]; !t.ended && t.expiry > by {
+			t.expiry, t.sla = by, min(t.sla, by)
+			a.look(by-endGuard, t)
+		}
+	}
+	a.settle()
+}
+
 // overQuota tells that a tenant asks for more than its share, of which an agent takes its part to be like
 // others'.
 func (a *Agent) overQuota(t *txn) bool {
