Races of probes are run only while what they save is worth their price by the settings

Change: Probing takes the price, setup reads tariffs.probe; policy.go runs races while racers times the price is within that. TestRacePrice fails without it.

--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -35,7 +35,7 @@
 		a.Hold(float64(most))
 	}
 	a.Share(lim.Get("peers").Bool())
-	a.Probing(lim.Get("probes").Bool())
+	a.Probing(lim.Get("probes").Bool(), s.Get("tariffs.probe").Num)
 	wait := 0.0
 	if lim.Get("retry-after").Bool() {
 		wait = Ms(lim.Get("max-retry-after-us"))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,6 +65,7 @@
 	coldMargin, coldDepth   = 0.7, 0.25 // of the cold budget; of its window at once, against bursts
 	flowDown, flowUp        = 0.4, 0.1  // of the txns taken on: fewer for each that tells of a shortage, more
 	racers, raceTime        = 2, 0.12   // probed at once, rounds; of the SLA time, without an answer
+	raceGain                = 0.045     // of the worth: what races save; none are run at a higher price
 
 	adviseLeast, adviseSpread = 0.25, 0.5 // of the longest wait that clients follow, and up to more
 	tailPart, tailTimes       = 0.97, 1.5 // of the answers stay under the tail; hope ends at so many times it
@@ -278,7 +279,7 @@
 	inTime := a.now+a.least(t) < t.sla || a.products[t.product].Late > 0 && len(t.subs) > 0
 	many := a.agents >= manyAgents && !t.held
 	mute := many && a.flowNow(1) >= flowFull && a.rnd.Float64() < 2*a.mute-1 // probes fail, txns do not
-	racing := many && a.probes && t.races < racers && !mute
+	racing := many && a.probes && racers*a.probePrice <= raceGain && t.races < racers && !mute
 	// Probes lost or waiting in queues alike: only those who went on without them can tell which.
 	t.blind = t.blind || many && !racing
 	late := len(t.subs) == 0 && a.now >= a.lastHold(t) // a client with its time half gone has nowhere else to go
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -580,7 +580,7 @@
 	} {
 		a, r := tier(Product{}, 8)
 		a.agents = 300
-		a.Probing(true)
+		a.Probing(true, 0.01)
 		a.Txn(10, "t", "", 0, 0, false, 4000, 0)
 		probed := r.take()
 		if len(probed) == 0 || !strings.HasPrefix(probed[0], "probe") {
@@ -602,6 +602,22 @@
 	}
 }
 
+// Races are run while what they save is worth their price, by the settings; else requests go out at once.
+func TestRacePrice(t *testing.T) {
+	for _, c := range []struct {
+		price float64
+		first string
+	}{{0, "probe"}, {0.02, "probe"}, {0.03, "submit"}, {0.08, "submit"}} {
+		a, r := tier(Product{}, 4)
+		a.agents = manyAgents
+		a.Probing(true, c.price)
+		a.Txn(10, "t", "", 0, 0, false, 4000, 0)
+		if did := r.take(); len(did) == 0 || !strings.HasPrefix(did[0], c.first) {
+			t.Errorf("at %v: %v", c.price, did)
+		}
+	}
+}
+
 // With the few outcomes of a stage, and latencies as uneven as they are, a build twice as slow is seen and one that is
 // not is left alone; so is one of whose few machines some are in trouble that earlier ones know too.
 func TestSlow(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -160,6 +160,7 @@
 	racing                       []racer
 	mute                         float64 // part of the probes of late that failed
 	probes                       bool
+	probePrice                   float64
 	held                         []*txn // waiting for a place, oldest first
 	recallAt, wokeAt             float64
 	alarms                       alarms
@@ -212,7 +213,8 @@
 // Share: agents may send each other messages.
 func (a *Agent) Share(allowed bool) { a.peers = allowed }
 
-func (a *Agent) Probing(allowed bool) { a.probes = allowed }
+// Probing: a probe costs so much of a request's worth.
+func (a *Agent) Probing(allowed bool, price float64) { a.probes, a.probePrice = allowed, price }
 
 func (a *Agent) Advise(maxWait float64) { a.maxWait = maxWait }
 
