--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	wake    *time.Timer
 	lines   chan string
 	leaving bool
+	by      float64 // while leaving: when everything has its answer
 	counts  Counts
 	parts   []Part         // never changed once txns come
 	builds  map[string]int // appliances' builds as listed, kept only for the parts
@@ -86,11 +87,11 @@
 	return n
 }
 
-// Leave ends the votes: what an agent that goes has seen is no longer its to judge by. What is held now has its answer by
-// the time that is left.
+// Leave ends the votes: what an agent that goes has seen is no longer its to judge by. What is held now, and what is taken
+// from here on, has its answer by then.
 func (c *Core) Leave(by float64) {
 	c.enter("leave", func(now float64) {
-		c.leaving = true
+		c.leaving, c.by = true, by
 		for _, t := range c.txns {
 			t.Expiry = min(t.Expiry, by)
 		}
@@ -247,7 +248,9 @@
 			t = nil
 			return
 		}
-		c.txns[id] = t
+		if c.txns[id] = t; c.leaving { // under the lock: a request that crosses the signal is either held by then, or sees it
+			t.Expiry = min(t.Expiry, c.by)
+		}
 		c.counts.Taken++
 		heap.Push(&c.timers, timer{at: t.Expiry + guardLate, txn: t})
 		if c.timers[0].txn == t {
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -79,6 +79,7 @@
 			waits = append(waits, core.Take(core.Now(), id, "", "", 0, false, 9000, "", nil))
 		}
 		core.Leave(core.Now() + 700)
+		waits = append(waits, core.Take(core.Now(), "z", "", "", 0, false, 9000, "", nil)) // it crossed the signal
 		for _, x := range append(waits, tried) {
 			a := x.Next()
 			for ; a.Do == Submit; a = x.Next() {
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -60,7 +60,7 @@
 	bodies   atomic.Int64
 	ready    atomic.Bool
 	kill     time.Duration // after the signal to leave, at the soonest
-	killAt   atomic.Int64  // 0: not leaving
+	leaving  atomic.Bool
 	closing  atomic.Bool
 	active   atomic.Int64
 	lastAt   atomic.Int64 // when a txn last began or ended
@@ -119,7 +119,7 @@
 		f.sockets.Whole(conn)
 	}
 	if path == "/up" && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
-		if !f.ready.Load() || f.killAt.Load() != 0 {
+		if !f.ready.Load() || f.leaving.Load() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 		return
@@ -221,9 +221,6 @@
 		full = "room"
 	}
 
-	if at := f.killAt.Load(); at != 0 { // what the kill finds without an answer is lost
-		left = min(left, f.core.Now()-came+float64(at-int64(leaveAnswer)-time.Now().UnixNano())/1e6)
-	}
 	first := head(r, len(body))
 	submit := func(s *core.Submission) { f.up.Submit(s, first, body) }
 	t := f.core.Take(came, id, key, mark, product, r.Header.Get("Req-Retry") == "1", left, full, submit)
@@ -358,7 +355,7 @@
 // near: the next agent may be away just then, and clients that were sent off would find nobody.
 func (f *Front) Leave(ctx context.Context, listener net.Listener) {
 	from := time.Now()
-	f.killAt.Store(from.Add(f.kill).UnixNano())
+	f.leaving.Store(true)
 	f.core.Leave(f.core.Now() + float64(f.kill-leaveAnswer)/1e6)
 	for tick := time.NewTicker(20 * time.Millisecond); ctx.Err() == nil; <-tick.C {
 		since := time.Since(from)
