--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -4,7 +4,7 @@
 // They start so: the configuration and our settings are read and checked; the record takes its spool, without which an
 // agent that is to keep one does not start; the listener is opened; the module runs, with the list and the news that the
 // configuration holds; streams, writers and reports begin; the front says that it is ready. They end the other way round: the
-// front leaves once its txns are answered, then the record writes what it holds, and all else is dropped. An agent goes on
+// front leaves once its requests are answered, then the record writes what it holds, and all else is dropped. An agent goes on
 // without discovery, the platform, the store of record, the metrics' listener and, by setting, the spool.
 package assembly
 
@@ -78,7 +78,7 @@
 	meter     *metering.Meter
 }
 
-// what the module wants beside its txns.
+// what the module wants beside its requests.
 func (a *Agent) Vote(build int, verdict policy.Verdict, stage int) {
 	a.platform.Vote(build, verdict, stage)
 }
@@ -179,7 +179,7 @@
 	}
 	if memoryMB > 0 { // the rest is for stacks, the program itself and what the collector is late with
 		debug.SetMemoryLimit(int64(memoryMB) << 20 * 6 / 10)
-		// Little is live at some hundreds of txns a second, and the collector cheap; at more, peaks would pass for growth.
+		// Little is live at some hundreds of requests a second, and the collector cheap; at more, peaks would pass for growth.
 		debug.SetGCPercent(150)
 	}
 	return sockets, memoryMB
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,5 +1,5 @@
 // Package core hosts one decision module for a live agent. It owns the lock under which every event enters, the clock
-// and timers that the module is handed, the mailbox of each txn and the guard that sees each txn answered. It must
+// and timers that the module is handed, the mailbox of each request and the watchdog that sees each request answered. It must
 // never choose anything that the module could, never block under the lock, and never know a wire: a second protocol
 // would stand on it as the first does.
 package core
@@ -14,7 +14,7 @@
 	"onyxgate/policy"
 )
 
-// Calls are the module's actions that belong to no txn. Each starts something and returns at once.
+// Calls are the module's actions that belong to no request. Each starts something and returns at once.
 type Calls interface {
 	Vote(build int, verdict policy.Verdict, stage int)
 	Probe(appliance string)
@@ -23,43 +23,43 @@
 }
 
 const (
-	// guardLate (ms) is how far past a txn's time the guard looks: the module answers before it, and a client's time is
+	// watchdogLate (ms) is how far past a request's time the watchdog looks: the module answers before it, and a client's time is
 	// kept within some tens of milliseconds more.
-	guardLate = 15.0
-	// ringApart: two alarms a txn would else wake the agent ten thousand times a second, a few at a time.
+	watchdogLate = 15.0
+	// ringApart: two alarms a request would else wake the agent ten thousand times a second, a few at a time.
 	ringApart = time.Millisecond
 )
 
 // Core is one live agent's module with all that it needs to run.
 type Core struct {
-	mu      sync.Mutex
-	inside  bool // an event is being handled
-	agent   *policy.Agent
-	calls   Calls
-	from    time.Time
-	fromMs  float64
-	txns    map[string]*Txn
-	timers  timers
-	wake    *time.Timer
-	lines   chan string
-	leaving bool
-	by      float64 // while leaving: when everything has its answer
-	counts  Counts
-	parts   []Part         // never changed once txns come
-	builds  map[string]int // appliances' builds as listed, kept only for the parts
+	mu       sync.Mutex
+	inside   bool // an event is being handled
+	agent    *policy.Agent
+	calls    Calls
+	from     time.Time
+	fromMs   float64
+	requests map[string]*Request
+	timers   timers
+	wake     *time.Timer
+	lines    chan string
+	leaving  bool
+	by       float64 // while leaving: when everything has its answer
+	counts   Counts
+	parts    []Part         // never changed once requests come
+	builds   map[string]int // appliances' builds as listed, kept only for the parts
 }
 
 // Counts are what has been since the start, and what is open now.
 type Counts struct {
 	Taken, Settled, Declined, Voided, Gone int
-	Ends                                   [policy.Moot + 1]int // submissions, by result
+	Ends                                   [policy.Moot + 1]int // attempts, by result
 	Open, Out, Timers                      int
 }
 
 // New starts the clock; no event may come before Start.
 func New(calls Calls) *Core {
 	now := time.Now()
-	return &Core{calls: calls, from: now, fromMs: float64(now.UnixNano()) / 1e6, txns: map[string]*Txn{},
+	return &Core{calls: calls, from: now, fromMs: float64(now.UnixNano()) / 1e6, requests: map[string]*Request{},
 		lines: make(chan string, 256)}
 }
 
@@ -83,7 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.counts
-	n.Open, n.Timers = len(c.txns), len(c.timers)
+	n.Open, n.Timers = len(c.requests), len(c.timers)
 	return n
 }
 
@@ -92,7 +92,7 @@
 func (c *Core) Leave(by float64) {
 	c.enter("leave", func(now float64) {
 		c.leaving, c.by = true, by
-		for _, t := range c.txns {
+		for _, t := range c.requests {
 			t.Expiry = min(t.Expiry, by)
 		}
 		c.agent.Leave(now, by)
@@ -100,7 +100,7 @@
 }
 
 // enter hands one event to the module with the time read under the lock. A panic there must cost one event, not all
-// the txns that the agent holds.
+// the requests that the agent holds.
 func (c *Core) enter(what string, event func(now float64)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -141,13 +141,13 @@
 		}
 	})
 	c.mu.Lock() // apart from the event: should that fail, the timers go on
-	now, late := c.Now(), []*Txn(nil)
+	now, late := c.Now(), []*Request(nil)
 	for len(c.timers) > 0 && c.timers[0].at <= now && !c.timers[0].module() {
 		e := heap.Pop(&c.timers).(timer)
 		if e.sub != nil {
 			e.sub.timeOut()
-		} else if !e.txn.over || e.txn.out > 0 {
-			late = append(late, e.txn)
+		} else if !e.request.over || e.request.out > 0 {
+			late = append(late, e.request)
 		}
 	}
 	c.rewind(now)
@@ -163,15 +163,15 @@
 	}
 }
 
-// timer is one of the module's, a txn's guard or the end of a submission's time.
+// timer is one of the module's, a request's watchdog or the end of an attempt's time.
 type timer struct {
-	at    float64
-	token uint64
-	txn   *Txn
-	sub   *Submission
+	at      float64
+	token   uint64
+	request *Request
+	sub     *Attempt
 }
 
-func (e timer) module() bool { return e.txn == nil && e.sub == nil }
+func (e timer) module() bool { return e.request == nil && e.sub == nil }
 
 type timers []timer
 
@@ -186,9 +186,9 @@
 	return x
 }
 
-// ---- a txn
+// ---- a request
 
-// Do is what a txn's handler is asked to do.
+// Do is what a request's handler is asked to do.
 type Do uint8
 
 const (
@@ -199,17 +199,17 @@
 	Leave // the client has gone: no answer
 )
 
-// Action is one entry of a txn's mailbox.
+// Action is one entry of a request's mailbox.
 type Action struct {
 	Do     Do
-	Sub    *Submission
+	Sub    *Attempt
 	Wait   float64
 	Answer any
-	Reason string // one word: why the txn ended so
+	Reason string // one word: why the request ended so
 }
 
-// Txn is one txn from its arrival to its last submission's end.
-type Txn struct {
+// Request is one request from its arrival to its last attempt's end.
+type Request struct {
 	ID       string
 	Mark     string // against repeats, where the product has one
 	Product  int
@@ -219,23 +219,23 @@
 	kept     []any   // what each part keeps of it
 	reserved float64 // ms of the client's time, for the parts
 	said     bool    // its parts know that it is answered
-	by       *Submission
-	last     policy.Result // of the submission that ended last
-	start    func(*Submission)
-	under    *Submission // that its handler carries out
+	by       *Attempt
+	last     policy.Result // of the attempt that ended last
+	start    func(*Attempt)
+	under    *Attempt // that its handler carries out
 	bell     chan struct{}
 	mail     []Action
-	subs     []*Submission
+	attempts []*Attempt
 	out      int
 	over     bool // answered, or the client has gone
 }
 
-// Take hands a new txn to the module; left runs from the time at which it came. A submission that is wanted while the
-// handler carries out another goes to start, in a goroutine of its own. A front that has no room for a txn says so by a
+// Take hands a new request to the module; left runs from the time at which it came. An attempt that is wanted while the
+// handler carries out another goes to start, in a goroutine of its own. A front that has no room for a request says so by a
 // word, full: it is then declined like any other, without the module. Nil: that id is held already.
 func (c *Core) Take(came float64, id, key, mark string, product int, again bool, left float64, full string,
-	start func(*Submission)) (t *Txn) {
-	t = &Txn{ID: id, Mark: mark, Product: product, Came: came, Expiry: came + left, core: c, start: start}
+	start func(*Attempt)) (t *Request) {
+	t = &Request{ID: id, Mark: mark, Product: product, Came: came, Expiry: came + left, core: c, start: start}
 	if full == "" {
 		full = t.ask(left)
 	}
@@ -243,17 +243,17 @@
 		t.turnAway(full)
 		return t
 	}
-	c.enter("txn", func(now float64) {
-		if c.txns[id] != nil {
+	c.enter("request", func(now float64) {
+		if c.requests[id] != nil {
 			t = nil
 			return
 		}
-		if c.txns[id] = t; c.leaving { // under the lock: a request that crosses the signal is either held by then, or sees it
+		if c.requests[id] = t; c.leaving { // under the lock: a request that crosses the signal is either held by then, or sees it
 			t.Expiry = min(t.Expiry, c.by)
 		}
 		c.counts.Taken++
-		heap.Push(&c.timers, timer{at: t.Expiry + guardLate, txn: t})
-		if c.timers[0].txn == t {
+		heap.Push(&c.timers, timer{at: t.Expiry + watchdogLate, request: t})
+		if c.timers[0].request == t {
 			c.rewind(now)
 		}
 		c.agent.Txn(now, id, key, product, 0, again, t.Expiry-now, 0)
@@ -262,7 +262,7 @@
 }
 
 // Next waits for the next action.
-func (t *Txn) Next() Action {
+func (t *Request) Next() Action {
 	for {
 		t.core.mu.Lock()
 		if t.under = nil; len(t.mail) > 0 {
@@ -285,7 +285,7 @@
 	}
 }
 
-func (t *Txn) post(a Action) {
+func (t *Request) post(a Action) {
 	if a.Do == Submit && t.under != nil {
 		go t.start(a.Sub)
 		return
@@ -299,8 +299,8 @@
 	}
 }
 
-// finish is the one place where a txn gets its final answer.
-func (t *Txn) finish(a Action, count *int) {
+// finish is the one place where a request gets its final answer.
+func (t *Request) finish(a Action, count *int) {
 	if !t.over {
 		t.over = true
 		a.Reason = t.reason(a)
@@ -310,39 +310,39 @@
 	}
 }
 
-func (t *Txn) forget() {
-	if t.over && t.out == 0 && t.core.txns[t.ID] == t {
-		delete(t.core.txns, t.ID)
+func (t *Request) forget() {
+	if t.over && t.out == 0 && t.core.requests[t.ID] == t {
+		delete(t.core.requests, t.ID)
 	}
 }
 
-// late is the standing guard: whatever failed, a txn taken is answered and its submissions end. The module is woken
+// late is the standing watchdog: whatever failed, a request taken is answered and its attempts end. The module is woken
 // first, for its own timer may only be as late as this one.
-func (t *Txn) late() {
-	t.core.enter("guard", func(now float64) {
+func (t *Request) late() {
+	t.core.enter("watchdog", func(now float64) {
 		if !t.over {
 			t.core.agent.Wake(now, 0)
 		}
-		if !must.Hold(t.over, "every txn is answered in time", t.ID) {
-			t.finish(Action{Do: Void, Reason: "guard"}, &t.core.counts.Voided)
+		if !must.Hold(t.over, "every request is answered in time", t.ID) {
+			t.finish(Action{Do: Void, Reason: "watchdog"}, &t.core.counts.Voided)
 			t.core.agent.Hangup(now, t.ID)
 		}
 	})
 	t.core.mu.Lock()
 	defer t.core.mu.Unlock()
-	for _, s := range t.subs {
+	for _, s := range t.attempts {
 		s.timeOut()
 	}
 }
 
 // Hangup tells that the client has gone. What has not been written yet stays unwritten, whether or not an attempt under
 // way may be called off: nobody waits for it.
-func (t *Txn) Hangup() {
+func (t *Request) Hangup() {
 	t.core.enter("hangup", func(now float64) {
 		if !t.over {
 			t.finish(Action{Do: Leave}, &t.core.counts.Gone)
 			t.core.agent.Hangup(now, t.ID)
-			for _, s := range t.subs {
+			for _, s := range t.attempts {
 				if !s.over && !s.sent && !s.called {
 					s.called = true
 					s.stop()
@@ -352,9 +352,9 @@
 	})
 }
 
-// Close ends a txn's handling. Where no answer was given the handler has failed; submissions that nobody took up were
+// Close ends a request's handling. Where no answer was given the handler has failed; attempts that nobody took up were
 // never sent.
-func (t *Txn) Close() {
+func (t *Request) Close() {
 	t.core.mu.Lock()
 	over, mail := t.over, t.mail
 	t.mail = nil
@@ -375,12 +375,12 @@
 // Halter is a call under way that can be interrupted without waiting.
 type Halter interface{ Halt() }
 
-// Submission is one try at an appliance.
-type Submission struct {
+// Attempt is one try at an appliance.
+type Attempt struct {
 	Appliance string
 	Build     int // as listed when it went out; 0 where no part asks
 	Until     float64
-	txn       *Txn
+	request   *Request
 	n         int
 	at        float64
 	over      bool
@@ -390,9 +390,9 @@
 	halt      Halter
 }
 
-// Begin names what is to be interrupted when the submission is called off, or nothing any more; it tells how it stands.
-func (s *Submission) Begin(halt Halter) (called, late bool) {
-	c := s.txn.core
+// Begin names what is to be interrupted when the attempt is called off, or nothing any more; it tells how it stands.
+func (s *Attempt) Begin(halt Halter) (called, late bool) {
+	c := s.request.core
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.halt = halt
@@ -401,8 +401,8 @@
 
 // Send is Begin for the moment at which the call's bytes go out: unless it has been called off or is late, it counts as
 // sent from here on.
-func (s *Submission) Send(halt Halter) (called, late bool) {
-	c := s.txn.core
+func (s *Attempt) Send(halt Halter) (called, late bool) {
+	c := s.request.core
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.called || s.late {
@@ -413,24 +413,24 @@
 	return s.called, s.late
 }
 
-func (s *Submission) timeOut() {
+func (s *Attempt) timeOut() {
 	if !s.over && !s.called {
 		s.late = true
 		s.stop()
 	}
 }
 
-func (s *Submission) stop() {
+func (s *Attempt) stop() {
 	if s.halt != nil {
 		s.halt.Halt()
 	}
 }
 
-// End tells how a submission ended; the first answer of all goes to the client.
-func (s *Submission) End(r policy.Result, answer any, waiting, busy float64) {
-	t, c := s.txn, s.txn.core
+// End tells how an attempt ended; the first answer of all goes to the client.
+func (s *Attempt) End(r policy.Result, answer any, waiting, busy float64) {
+	t, c := s.request, s.request.core
 	c.enter("outcome", func(now float64) {
-		if !must.Hold(!s.over, "one outcome for each submission", t.ID, s.n) {
+		if !must.Hold(!s.over, "one outcome for each attempt", t.ID, s.n) {
 			return
 		}
 		s.over = true
@@ -458,27 +458,27 @@
 
 type port Core
 
-func (p *port) held(id string) *Txn {
+func (p *port) held(id string) *Request {
 	must.Hold(p.inside, "the lock is held when the module acts", id)
-	return p.txns[id]
+	return p.requests[id]
 }
 
 func (p *port) Submit(id, appliance string, limit float64) {
 	t, now := p.held(id), (*Core)(p).Now()
 	if t == nil {
-		must.Hold(false, "a submission belongs to a txn that is held", id)
+		must.Hold(false, "an attempt belongs to a request that is held", id)
 		return
 	}
-	s := &Submission{Appliance: appliance, Build: p.builds[appliance], Until: t.Expiry, txn: t, n: len(t.subs), at: now}
+	s := &Attempt{Appliance: appliance, Build: p.builds[appliance], Until: t.Expiry, request: t, n: len(t.attempts), at: now}
 	if limit > 0 && now+limit < s.Until {
 		s.Until = now + limit
 		heap.Push(&p.timers, timer{at: s.Until, sub: s})
 		(*Core)(p).rewind(now)
 	}
-	t.subs = append(t.subs, s)
+	t.attempts = append(t.attempts, s)
 	t.out++
 	p.counts.Out++
-	if !must.Hold(!t.over, "no submission after the end", id) {
+	if !must.Hold(!t.over, "no attempt after the end", id) {
 		go s.End(policy.Moot, nil, -1, -1)
 		return
 	}
@@ -497,10 +497,10 @@
 	}
 }
 
-func (p *port) Revoke(id string, submission int) {
-	if t := p.held(id); t != nil && submission >= 0 && submission < len(t.subs) {
-		t.subs[submission].called = true
-		t.subs[submission].stop()
+func (p *port) Revoke(id string, attempt int) {
+	if t := p.held(id); t != nil && attempt >= 0 && attempt < len(t.attempts) {
+		t.attempts[attempt].called = true
+		t.attempts[attempt].stop()
 	}
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -40,13 +40,13 @@
 
 func (h *halted) Halt() { h.at = time.Now() }
 
-// Every txn taken ends once and in time, its submissions each once, and nothing of it stays.
-func TestTxn(t *testing.T) {
+// Every request taken ends once and in time, its attempts each once, and nothing of it stays.
+func TestRequest(t *testing.T) {
 	for _, c := range []struct {
 		name       string
 		effect     policy.Effect
 		appliances int
-		ends       []policy.Result // of the submissions in turn; 0: it never ends by itself
+		ends       []policy.Result // of the attempts in turn; 0: it never ends by itself
 		answer     Do
 		hangup     bool
 		within     time.Duration
@@ -68,11 +68,11 @@
 				if core.Take(core.Now(), "t", "", "", 0, false, 2000, "", nil) != nil {
 					t.Error("an id was taken twice")
 				}
-				var left *Submission
+				var left *Attempt
 				for _, r := range c.ends {
 					a := x.Next()
 					if a.Do != Submit {
-						t.Fatalf("got %v in place of a submission", a.Do)
+						t.Fatalf("got %v in place of an attempt", a.Do)
 					}
 					if r != 0 {
 						a.Sub.End(r, "body", -1, -1)
@@ -96,10 +96,10 @@
 				synctest.Wait()
 				if left != nil {
 					if stop.at.IsZero() {
-						t.Error("the submission was not called off")
+						t.Error("the attempt was not called off")
 					}
 					if called, _ := left.Begin(nil); !called {
-						t.Error("the submission does not know")
+						t.Error("the attempt does not know")
 					}
 					left.End(policy.Revoked, nil, -1, -1)
 				}
@@ -114,7 +114,7 @@
 	}
 }
 
-// A submission that nobody took up was never sent, and one wanted while another is under way starts by itself.
+// An attempt that nobody took up was never sent, and one wanted while another is under way starts by itself.
 func TestMail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core, does := hosted(policy.Product{}, 2)
@@ -122,8 +122,8 @@
 		if n := core.Counts(); n.Ends[policy.Moot] != 1 || n.Open != 0 || n.Gone != 1 {
 			t.Errorf("unread: %+v", n)
 		}
-		started := make(chan *Submission, 1)
-		x := core.Take(core.Now(), "b", "", "", 0, false, 2000, "", func(s *Submission) { started <- s })
+		started := make(chan *Attempt, 1)
+		x := core.Take(core.Now(), "b", "", "", 0, false, 2000, "", func(s *Attempt) { started <- s })
 		first := x.Next().Sub
 		core.mu.Lock()
 		core.inside = true
--- a/internal/core/crossings_test.go
+++ b/internal/core/crossings_test.go
@@ -12,8 +12,8 @@
 func TestPostedTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core, _ := hosted(policy.Product{}, 2)
-		started := make(chan *Submission, 2)
-		x := core.Take(core.Now(), "t", "", "", 0, false, 3000, "", func(s *Submission) { started <- s })
+		started := make(chan *Attempt, 2)
+		x := core.Take(core.Now(), "t", "", "", 0, false, 3000, "", func(s *Attempt) { started <- s })
 		core.enter("two", func(float64) { (*port)(core).Submit("t", "s1", 0) }) // beside the module's own
 		first := x.Next()
 		synctest.Wait()
@@ -74,7 +74,7 @@
 		from := time.Now()
 		tried := core.Take(core.Now(), "t", "", "", 0, false, 9000, "", nil)
 		tried.Next()
-		var waits []*Txn
+		var waits []*Request
 		for _, id := range []string{"u", "v", "w", "x", "y"} {
 			waits = append(waits, core.Take(core.Now(), id, "", "", 0, false, 9000, "", nil))
 		}
@@ -87,7 +87,7 @@
 			if took := time.Since(from); a.Do != Decline && a.Do != Void || took > 700*time.Millisecond {
 				t.Errorf("%s: %v after %v", x.ID, a.Do, took)
 			}
-			for _, s := range x.subs {
+			for _, s := range x.attempts {
 				if !s.over {
 					s.End(policy.Revoked, nil, -1, -1)
 				}
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -1,17 +1,17 @@
 package core
 
-// This file owns the points at which other parts of an agent join the path of a txn, whichever front it came by: may it
+// This file owns the points at which other parts of an agent join the path of a request, whichever front it came by: may it
 // enter, what will be answered, what was answered, it has gone. It must never know a part by name, call one under the
-// lock, or let one choose what the module chooses: a part may turn a txn away before the module has it, and no later.
+// lock, or let one choose what the module chooses: a part may turn a request away before the module has it, and no later.
 
 import (
 	"onyxgate/policy"
 )
 
-// Part follows every txn. Its methods are called from the txns' own goroutines, many at once.
+// Part follows every request. Its methods are called from the requests' own goroutines, many at once.
 type Part interface {
-	// Enter is asked before the module has a txn: what it keeps back (ms) of the client's time for its own work between the
-	// decision and the answer, and one word where the txn is to be declined at once. It must not wait.
+	// Enter is asked before the module has a request: what it keeps back (ms) of the client's time for its own work between the
+	// decision and the answer, and one word where the request is to be declined at once. It must not wait.
 	Enter(now float64) (reserve float64, why string)
 	// Answering comes before the answer's first byte and may hold it until `until` (ms, the clock of Core.Now) and no
 	// longer. What it returns is handed to Answered.
@@ -22,24 +22,24 @@
 	Gone(now float64)
 }
 
-// Ending is what a txn's end is made of. Times are ms, Unix time at the start and even from there.
+// Ending is what a request's end is made of. Times are ms, Unix time at the start and even from there.
 type Ending struct {
-	Txn, Mark   string
-	Product     int
-	Do          Do     // Settle, Decline or Void
-	Reason      string // one word
-	Appliance   string // that answered, or empty
-	Build       int
-	Submissions int
-	Taken, Now  float64
-	Body        []byte // as the client gets it; nil unless settled
+	Request, Mark string
+	Product       int
+	Do            Do     // Settle, Decline or Void
+	Reason        string // one word
+	Appliance     string // that answered, or empty
+	Build         int
+	Attempts      int
+	Taken, Now    float64
+	Body          []byte // as the client gets it; nil unless settled
 }
 
 // answerNear (ms): a part may hold an answer to so long before the client's time is up, for the answer still has to be
 // written.
 const answerNear = 6.0
 
-// Join adds a part; before the first txn only.
+// Join adds a part; before the first request only.
 func (c *Core) Join(p Part) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -68,17 +68,17 @@
 	}
 }
 
-// Followed tells that parts follow the txn, so that the end of its answer is of interest.
-func (t *Txn) Followed() bool { return t != nil && len(t.core.parts) > 0 }
+// Followed tells that parts follow the request, so that the end of its answer is of interest.
+func (t *Request) Followed() bool { return t != nil && len(t.core.parts) > 0 }
 
-// ask asks the parts whether the txn may enter; else it returns why not.
-func (t *Txn) ask(left float64) (why string) {
+// ask asks the parts whether the request may enter; else it returns why not.
+func (t *Request) ask(left float64) (why string) {
 	for _, p := range t.core.parts {
 		reserve, why := p.Enter(t.core.Now())
 		if why != "" {
 			return why
 		}
-		// Of a short time no more than a quarter: the txn still has to run.
+		// Of a short time no more than a quarter: the request still has to run.
 		reserve = min(reserve, left/4)
 		t.Expiry -= reserve
 		t.reserved += reserve
@@ -86,27 +86,27 @@
 	return ""
 }
 
-// turnAway declines a txn that never reaches the module; it is answered like any other.
-func (t *Txn) turnAway(why string) {
+// turnAway declines a request that never reaches the module; it is answered like any other.
+func (t *Request) turnAway(why string) {
 	t.core.mu.Lock()
 	defer t.core.mu.Unlock()
 	t.core.counts.Taken++
 	t.finish(Action{Do: Decline, Reason: why}, &t.core.counts.Declined)
 }
 
-// words are the reasons that submissions' ends give.
+// words are the reasons that attempts' ends give.
 var words = [...]string{policy.Settled: "answered", policy.Errored: "errored", policy.Rejected: "rejected",
 	policy.TimedOut: "timeout", policy.Unconnected: "unconnected", policy.Broken: "broken", policy.Revoked: "revoked",
 	policy.Moot: "unsent"}
 
-// reason is one word for why a txn ended as it did; under the lock.
-func (t *Txn) reason(a Action) string {
+// reason is one word for why a request ended as it did; under the lock.
+func (t *Request) reason(a Action) string {
 	switch {
 	case a.Reason != "":
 		return a.Reason
 	case a.Do == Settle:
 		return words[policy.Settled]
-	case len(t.subs) == 0:
+	case len(t.attempts) == 0:
 		return "none" // nothing was tried
 	case t.out > 0 || t.last == 0:
 		return "late" // nothing had come back yet
@@ -115,7 +115,7 @@
 }
 
 // join tells the parts what will be answered, or that nothing will.
-func (t *Txn) join(a *Action) {
+func (t *Request) join(a *Action) {
 	if len(t.core.parts) == 0 || a.Do == Submit {
 		return
 	}
@@ -124,9 +124,9 @@
 		return
 	}
 	t.said = true
-	e := Ending{Txn: t.ID, Mark: t.Mark, Product: t.Product, Do: a.Do, Reason: a.Reason, Taken: t.Came, Now: t.core.Now()}
+	e := Ending{Request: t.ID, Mark: t.Mark, Product: t.Product, Do: a.Do, Reason: a.Reason, Taken: t.Came, Now: t.core.Now()}
 	t.core.mu.Lock()
-	e.Submissions = len(t.subs)
+	e.Attempts = len(t.attempts)
 	if t.by != nil && a.Do == Settle {
 		e.Appliance, e.Build = t.by.Appliance, t.by.Build
 	}
@@ -140,8 +140,8 @@
 	}
 }
 
-// Fail voids a txn whose handler has failed before it answered.
-func (t *Txn) Fail() {
+// Fail voids a request whose handler has failed before it answered.
+func (t *Request) Fail() {
 	a := Action{Do: Void, Reason: "failed"}
 	t.core.mu.Lock()
 	if !t.over {
@@ -154,7 +154,7 @@
 }
 
 // Answered tells that the answer's last byte was written, or that it can't be.
-func (t *Txn) Answered(whole bool) {
+func (t *Request) Answered(whole bool) {
 	if len(t.kept) == 0 {
 		return
 	}
@@ -165,7 +165,7 @@
 	t.kept = nil
 }
 
-func (t *Txn) gone() {
+func (t *Request) gone() {
 	t.said = true
 	for _, p := range t.core.parts {
 		p.Gone(t.core.Now())
--- a/internal/core/guard_test.go
+++ b/internal/core/watchdog_test.go
@@ -11,8 +11,8 @@
 	"onyxgate/policy"
 )
 
-// A module that fails costs its txn an early answer, never the answer.
-func TestGuard(t *testing.T) {
+// A module that fails costs its request an early answer, never the answer.
+func TestWatchdog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core, _ := hosted(policy.Product{}, 1)
 		from, was := time.Now(), must.Broken()
@@ -27,7 +27,7 @@
 		y := core.Take(core.Now(), "u", "", "", 0, false, 300, "", nil)
 		y.Next().Sub.End(policy.Settled, nil, -1, -1)
 		if a := y.Next(); a.Do != Settle {
-			t.Errorf("the next txn got %v", a.Do)
+			t.Errorf("the next request got %v", a.Do)
 		}
 		y.Close()
 		core.wake.Stop()
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -3,8 +3,8 @@
 // what the protocol fixes.
 package httpwire
 
-// This file owns the clients' side: the server, a txn's life from its first byte to its one answer, and leaving. It
-// must never answer a txn twice, leave one without an answer, or let bad input reach the module or an appliance.
+// This file owns the clients' side: the server, a request's life from its first byte to its one answer, and leaving. It
+// must never answer a request twice, leave one without an answer, or let bad input reach the module or an appliance.
 
 import (
 	"context"
@@ -26,25 +26,25 @@
 const (
 	headMost = 16 << 10
 	// A bad client is owed an error or a close 3 s after it connected, and some of that may have been spent in the backlog.
-	// Slow clients send theirs in pieces: they have all of it, and once one has been served, a txn's body has the client's
+	// Slow clients send theirs in pieces: they have all of it, and once one has been served, a request's body has the client's
 	// own time up to bodyWait.
 	headWait = 2500 * time.Millisecond // from connecting
 	newWait  = 2800 * time.Millisecond // head and body, from connecting
 	bodyWait = 5 * time.Second         // and a later head, from its first byte
-	// A connection without a txn may be closed after 2 s; each that says nothing for good would hold a descriptor.
+	// A connection without a request may be closed after 2 s; each that says nothing for good would hold a descriptor.
 	idleWait = 2500 * time.Millisecond
 	idMost   = 256
 	// What fits into a socket's buffer is written at once.
 	writeFree = 4 << 10
 	writeMost = 10 * time.Second
-	// New connections come for up to 0.4 s after the signal; the kill comes no sooner than the longest time of a txn, at most
+	// New connections come for up to 0.4 s after the signal; the kill comes no sooner than the longest time of a request, at most
 	// 3 s, and 0.7 s after it.
 	leaveOpen = 700 * time.Millisecond
 	leaveMost = 3000.0
-	// Before the kill: connections end with their txn, and whatever is still held has its answer.
+	// Before the kill: connections end with their request, and whatever is still held has its answer.
 	leaveClose  = 1500 * time.Millisecond
 	leaveAnswer = 300 * time.Millisecond
-	leaveRest   = 150 * time.Millisecond // without a txn, before the listener is closed
+	leaveRest   = 150 * time.Millisecond // without a request, before the listener is closed
 )
 
 // Front serves clients.
@@ -54,8 +54,8 @@
 	sockets  *Sockets
 	products map[string]int
 	effects  []policy.Effect
-	revokes  bool  // a submission may be called off
-	open     int   // txns at once; 0: no limit
+	revokes  bool  // an attempt may be called off
+	open     int   // requests at once; 0: no limit
 	room     int64 // bytes of bodies at once
 	bodies   atomic.Int64
 	ready    atomic.Bool
@@ -63,7 +63,7 @@
 	leaving  atomic.Bool
 	closing  atomic.Bool
 	active   atomic.Int64
-	lastAt   atomic.Int64 // when a txn last began or ended
+	lastAt   atomic.Int64 // when a request last began or ended
 	Refused  atomic.Int64 // bad input, by whatever status
 }
 
@@ -124,7 +124,7 @@
 		}
 		return
 	}
-	f.txn(w, r, path, f.core.Now()-float64(coming)/1e6)
+	f.request(w, r, path, f.core.Now()-float64(coming)/1e6)
 }
 
 // complaints are the server's own, mostly of clients that break off.
@@ -135,8 +135,8 @@
 	return len(line), nil
 }
 
-// txn is the life of one txn, which began to come at came, to its one answer.
-func (f *Front) txn(w http.ResponseWriter, r *http.Request, path string, came float64) {
+// request is the life of one request, which began to come at came, to its one answer.
+func (f *Front) request(w http.ResponseWriter, r *http.Request, path string, came float64) {
 	f.active.Add(1)
 	f.lastAt.Store(time.Now().UnixNano())
 	defer func() {
@@ -144,7 +144,7 @@
 		f.active.Add(-1)
 	}()
 
-	// What does not have the form of a txn goes no further, and nothing behind it is read.
+	// What does not have the form of a request goes no further, and nothing behind it is read.
 	parts := strings.Split(path, "/")
 	product, known := -1, false
 	if parts[0] == "" && len(parts) > 1 { // else it is no path
@@ -160,7 +160,7 @@
 	}
 	switch {
 	case len(r.TransferEncoding) > 0:
-		// Clients of ours state lengths. Beside a length a coding may hide another txn, and the server drops the length.
+		// Clients of ours state lengths. Beside a length a coding may hide another request, and the server drops the length.
 		f.refuse(w, http.StatusLengthRequired, "no coding is taken")
 		return
 	case r.ProtoMajor != 1 || r.ProtoMinor != 1: // of HTTP/1.0 the server drops the coding unseen
@@ -217,21 +217,21 @@
 	defer f.bodies.Add(-int64(len(body)))
 	full := ""
 	if f.bodies.Add(int64(len(body))) > f.room || f.open > 0 && f.active.Load() > int64(f.open) {
-		logrus.Warn("no room for a txn's body")
+		logrus.Warn("no room for a request's body")
 		full = "room"
 	}
 
 	first := head(r, len(body))
-	submit := func(s *core.Submission) { f.up.Submit(s, first, body) }
+	submit := func(s *core.Attempt) { f.up.Submit(s, first, body) }
 	t := f.core.Take(came, id, key, mark, product, r.Header.Get("Req-Retry") == "1", left, full, submit)
 	if t == nil {
 		f.refuse(w, http.StatusBadRequest, "this id is held already")
 		return
 	}
-	answered, under := false, (*core.Submission)(nil)
-	defer func() { // whatever fails, the txn ends here, with an answer where none was given
+	answered, under := false, (*core.Attempt)(nil)
+	defer func() { // whatever fails, the request ends here, with an answer where none was given
 		if failed := recover(); failed != nil {
-			logrus.WithField("panic", failed).Error("a txn's handler failed")
+			logrus.WithField("panic", failed).Error("a request's handler failed")
 			if under != nil {
 				under.End(policy.Broken, nil, -1, -1)
 			}
@@ -271,9 +271,9 @@
 	}
 }
 
-// settle, decline and void write the one answer. Where a part follows the txn they write it to its last byte and tell
+// settle, decline and void write the one answer. Where a part follows the request they write it to its last byte and tell
 // whether that went: what the server holds back until the handler has returned is not answered yet.
-func settle(w http.ResponseWriter, t *core.Txn, a answer) bool {
+func settle(w http.ResponseWriter, t *core.Request, a answer) bool {
 	if a.kind == "" {
 		a.kind = "application/octet-stream"
 	}
@@ -286,16 +286,18 @@
 	return err == nil && out(w, t)
 }
 
-func decline(w http.ResponseWriter, t *core.Txn, wait float64) bool {
+func decline(w http.ResponseWriter, t *core.Request, wait float64) bool {
 	if wait > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait/1000, 'f', 3, 64))
 	}
 	return say(w, t, http.StatusServiceUnavailable, "declined: trying again is harmless")
 }
 
-func void(w http.ResponseWriter, t *core.Txn) bool { return say(w, t, http.StatusBadGateway, "voided") }
+func void(w http.ResponseWriter, t *core.Request) bool {
+	return say(w, t, http.StatusBadGateway, "voided")
+}
 
-func say(w http.ResponseWriter, t *core.Txn, status int, why string) bool {
+func say(w http.ResponseWriter, t *core.Request, status int, why string) bool {
 	if !t.Followed() {
 		http.Error(w, why, status)
 		return true
@@ -308,7 +310,7 @@
 }
 
 // out sends what the server still holds.
-func out(w http.ResponseWriter, t *core.Txn) bool {
+func out(w http.ResponseWriter, t *core.Request) bool {
 	return !t.Followed() || http.NewResponseController(w).Flush() == nil
 }
 
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -21,7 +21,7 @@
 	"onyxgate/policy"
 )
 
-// nothing is what the module calls beside its txns, not carried out.
+// nothing is what the module calls beside its requests, not carried out.
 type nothing struct{}
 
 func (nothing) Vote(int, policy.Verdict, int) {}
@@ -212,7 +212,7 @@
 	}
 }
 
-// What does not have the form of a txn is refused at the door; nothing of it reaches the module.
+// What does not have the form of a request is refused at the door; nothing of it reaches the module.
 func TestBadInput(t *testing.T) {
 	head := func(line string, more ...string) string {
 		return line + " HTTP/1.1\r\nHost: h\r\n" + strings.Join(append(more, "\r\n"), "\r\n")
@@ -302,7 +302,7 @@
 	})
 }
 
-// A handler that fails still answers, and its submission ends.
+// A handler that fails still answers, and its attempt ends.
 func TestHandlerFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := newAgent(network{}, NewSockets(0))
@@ -316,7 +316,7 @@
 }
 
 // A connection is used again while it stands, given up well before the appliance closes it, and closed after a
-// submission that was not answered whole.
+// attempt that was not answered whole.
 func TestKept(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -731,7 +731,7 @@
 	}
 }
 
-// A slow client's txn is waited for, on a new connection and a kept one, which does not go for want of sockets meanwhile.
+// A slow client's request is waited for, on a new connection and a kept one, which does not go for want of sockets meanwhile.
 func TestSlowClient(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := newAgent(network{"app:1": once("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")}, NewSockets(reserve+8))
@@ -756,7 +756,7 @@
 			a.front.sockets.room(true)
 			resp, err := http.ReadResponse(answers, nil)
 			if err != nil || resp.StatusCode != 200 {
-				t.Fatalf("txn %d: %v, %v", k, resp, err)
+				t.Fatalf("request %d: %v, %v", k, resp, err)
 			}
 			a.front.sockets.mu.Lock()
 			a.front.sockets.clients -= 4 * k
@@ -813,7 +813,7 @@
 		mu.Unlock()
 		resp, _ := a.ask(t, strings.Replace(good, "2000m", "9000m", 1))
 		if took := time.Since(from); resp.StatusCode != 503 || took > 3400*time.Millisecond {
-			t.Errorf("a txn that finds no answer got %d after %v", resp.StatusCode, took)
+			t.Errorf("a request that finds no answer got %d after %v", resp.StatusCode, took)
 		}
 		if took := <-left; took < 2200*time.Millisecond || took > 3700*time.Millisecond {
 			t.Errorf("left after %v", took)
--- a/internal/httpwire/parts_test.go
+++ b/internal/httpwire/parts_test.go
@@ -33,8 +33,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.over = append(f.over, f.core.Now()-until)
-	f.said = append(f.said, fmt.Sprintf("%s %d %s %s %d %d %s", e.Txn, e.Do, e.Reason, e.Appliance, e.Build, e.Submissions, e.Body))
-	return e.Txn
+	f.said = append(f.said, fmt.Sprintf("%s %d %s %s %d %d %s", e.Request, e.Do, e.Reason, e.Appliance, e.Build, e.Attempts, e.Body))
+	return e.Request
 }
 
 func (f *follower) Answered(kept any, _ float64, whole bool) {
@@ -49,7 +49,7 @@
 	f.said = append(f.said, "gone")
 }
 
-// A part sees each txn's one end before its first byte, whatever the end, and then whether it went whole.
+// A part sees each request's one end before its first byte, whatever the end, and then whether it went whole.
 func TestParts(t *testing.T) {
 	ok := once("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
 	for _, c := range []struct {
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -1,8 +1,8 @@
 package httpwire
 
 // This file owns the budget of sockets that clients and appliances share: who holds how many, and which idle
-// connections go first when it runs short. It must never close a connection that carries a txn, nor let those that
-// say nothing keep others waiting: what waits in the backlog may already be a txn taken.
+// connections go first when it runs short. It must never close a connection that carries a request, nor let those that
+// say nothing keep others waiting: what waits in the backlog may already be a request taken.
 
 import (
 	"container/list"
@@ -23,27 +23,27 @@
 const reserve = 16
 
 // Sockets counts connections against the budget. From clientPart on, clients' connections that carry nothing make room
-// for new ones; clientMost are the most, for without appliances' part no txn that is held would get on.
+// for new ones; clientMost are the most, for without appliances' part no request that is held would get on.
 type Sockets struct {
 	mu      sync.Mutex
 	limit   int
 	used    int
 	clients int
-	silent  *list.List  // clients' connections on which no txn has ever come, the longest so first
-	idle    *list.List  // those between txns
+	silent  *list.List  // clients' connections on which no request has ever come, the longest so first
+	idle    *list.List  // those between requests
 	shed    func() bool // closes one idle connection to an appliance
 	shortAt time.Time
 }
 
 const (
-	// Clients hold a third for their txns and no more: those that asked once and stay would fill it, and no other would get
+	// Clients hold a third for their requests and no more: those that asked once and stay would fill it, and no other would get
 	// a connection. So the longest idle make room before.
 	clientPart = 0.25
 	clientMost = 0.8
 	// A connection used less than this ago may be about to be used again. No longer: clients use theirs in turn, and
 	// with hundreds idle none of them would ever be old.
 	restMost = 20 * time.Millisecond
-	// A slow client's head takes its time, and its txn is lost to it where the connection is closed: less than this says
+	// A slow client's head takes its time, and its request is lost to it where the connection is closed: less than this says
 	// nothing of a client. Beyond it a silent one may be one of hundreds that never speak.
 	silentMost = time.Second
 )
@@ -57,7 +57,7 @@
 		shed: func() bool { return false }}
 }
 
-// Used counts what is open, clients' part of it, and those of them that carry no txn.
+// Used counts what is open, clients' part of it, and those of them that carry no request.
 func (s *Sockets) Used() (all, clients, idle int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,7 +67,7 @@
 // Clients is how many of them there can be.
 func (s *Sockets) Clients() int { return int(clientMost * float64(s.limit)) }
 
-// Full tells that nothing is left, so that a client's connection had better end with its txn.
+// Full tells that nothing is left, so that a client's connection had better end with its request.
 func (s *Sockets) Full() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,7 +123,7 @@
 	return false
 }
 
-// Idle and Busy follow a client connection between txns; silent: none has come on it yet.
+// Idle and Busy follow a client connection between requests; silent: none has come on it yet.
 func (s *Sockets) Idle(conn net.Conn, silent bool) {
 	if c, ok := conn.(*counted); ok {
 		s.mu.Lock()
@@ -193,7 +193,7 @@
 	shed    bool      // nothing had come of the next request, and nothing is read any more
 	fresh   bool      // nothing has come of the next request
 	began   time.Time // when it began to come; zero: unseen
-	served  bool      // a txn has come on it before
+	served  bool      // a request has come on it before
 	headed  bool      // the first one's head has come
 	born    time.Time
 	among   *list.List // silent or idle
--- a/internal/httpwire/upstream.go
+++ b/internal/httpwire/upstream.go
@@ -1,8 +1,8 @@
 package httpwire
 
-// This file owns the connections to appliances and every byte written to them: submissions, probes, and what their
+// This file owns the connections to appliances and every byte written to them: attempts, probes, and what their
 // answers mean by the protocol's table. It must never resend anything on its own, pick an appliance or give up sooner
-// than it is told: one call is one submission, and one result comes of it.
+// than it is told: one call is one attempt, and one result comes of it.
 
 import (
 	"bufio"
@@ -57,7 +57,7 @@
 	mu        sync.Mutex
 	places    map[string]*place // by address
 	dialled   int
-	Unsent    int // submissions for which no socket was left
+	Unsent    int // attempts for which no socket was left
 }
 
 // NewUpstream makes one; connections may take up (ms) to come up, and are idle half of what the appliances allow:
@@ -119,7 +119,7 @@
 func (d dialling) Halt() { d() }
 
 // get takes an idle connection that has settled and still stands, the last used first, or opens one.
-func (u *Upstream) get(s *core.Submission, address string) (*conn, error) {
+func (u *Upstream) get(s *core.Attempt, address string) (*conn, error) {
 	u.mu.Lock()
 	p := u.places[address]
 	if p == nil {
@@ -153,7 +153,7 @@
 	return c, nil
 }
 
-func (u *Upstream) open(s *core.Submission, address string) (*conn, error) {
+func (u *Upstream) open(s *core.Attempt, address string) (*conn, error) {
 	if !u.sockets.room(false) {
 		u.mu.Lock()
 		u.Unsent++
@@ -283,7 +283,7 @@
 	}
 }
 
-// Connections counts those opened so far, those idle now and the submissions that found no socket.
+// Connections counts those opened so far, those idle now and the attempts that found no socket.
 func (u *Upstream) Connections() (opened, idle, unsent int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -336,7 +336,7 @@
 
 var errMalformed = errors.New("an answer that can't be read")
 
-// read takes an answer apart by hand: the library's reader, with its table of headers, took a tenth of a txn's cost. It
+// read takes an answer apart by hand: the library's reader, with its table of headers, took a tenth of a request's cost. It
 // takes what the page says good answers are and nothing else: a spoilt one must never pass.
 func (c *conn) read() (r reply, err error) {
 	line, err := c.line()
@@ -468,8 +468,8 @@
 // Bytes is what the client gets of it.
 func (a answer) Bytes() []byte { return a.body }
 
-// Submit carries out one submission of a txn and tells its end.
-func (u *Upstream) Submit(s *core.Submission, head, body []byte) {
+// Submit carries out one attempt of a request and tells its end.
+func (u *Upstream) Submit(s *core.Attempt, head, body []byte) {
 	result, r := u.submit(s, head, body)
 	waiting, busy := -1.0, -1.0
 	if u.onAnswers && r.load != "" {
@@ -479,7 +479,7 @@
 }
 
 // submit follows the protocol's table of outcomes.
-func (u *Upstream) submit(s *core.Submission, head, body []byte) (policy.Result, reply) {
+func (u *Upstream) submit(s *core.Attempt, head, body []byte) (policy.Result, reply) {
 	address := u.address(s.Appliance)
 	if address == "" {
 		return policy.Unconnected, reply{}
@@ -586,7 +586,7 @@
 	return waiting, busy
 }
 
-// head is a call's first part as it came, less what each submission tells anew and what belongs to a connection.
+// head is a call's first part as it came, less what each attempt tells anew and what belongs to a connection.
 func head(r *http.Request, length int) []byte {
 	b := make([]byte, 0, 512)
 	b = append(append(append(append(b, r.Method...), ' '), r.RequestURI...), " HTTP/1.1\r\nHost: "...)
--- a/internal/record/keeper/keeper.go
+++ b/internal/record/keeper/keeper.go
@@ -93,8 +93,8 @@
 	if e.Product >= 0 && e.Product < len(k.products) {
 		product = k.products[e.Product]
 	}
-	entry := record.Entry{Txn: e.Txn, Product: product, Outcome: outcomes[e.Do], Reason: e.Reason, Build: e.Build,
-		Appliance: e.Appliance, Submissions: e.Submissions, Taken: e.Taken, Answered: e.Now,
+	entry := record.Entry{Txn: e.Request, Product: product, Outcome: outcomes[e.Do], Reason: e.Reason, Build: e.Build,
+		Appliance: e.Appliance, Submissions: e.Attempts, Taken: e.Taken, Answered: e.Now,
 		Body: record.Digested(e.Body), Mark: record.Digested([]byte(e.Mark))}
 	k.mu.Lock()
 	n, ok := k.ledger.Answer(e.Now, entry)
--- a/internal/record/keeper/keeper_test.go
+++ b/internal/record/keeper/keeper_test.go
@@ -71,7 +71,7 @@
 				go func() { k.Run(ctx); close(ended) }()
 				failing.Store(true)
 				from, now := time.Now(), k.now()
-				kept := k.Answering(core.Ending{Txn: "t", Do: core.Settle, Now: now, Body: []byte("b")}, now+c.left)
+				kept := k.Answering(core.Ending{Request: "t", Do: core.Settle, Now: now, Body: []byte("b")}, now+c.left)
 				if took := time.Since(from); took < c.low || took > c.top {
 					t.Errorf("it waited %v, not %v to %v", took, c.low, c.top)
 				}
@@ -132,7 +132,7 @@
 					if _, why := k.Enter(k.now()); why == "unrecorded" {
 						refused++
 					}
-					kept := k.Answering(core.Ending{Txn: fmt.Sprint(i), Do: core.Decline, Now: k.now()}, k.now()+1000)
+					kept := k.Answering(core.Ending{Request: fmt.Sprint(i), Do: core.Decline, Now: k.now()}, k.now()+1000)
 					if kept == nil {
 						missed++
 					}
@@ -194,7 +194,7 @@
 		var all sync.WaitGroup
 		for i := range 300 {
 			all.Go(func() {
-				kept := k.Answering(core.Ending{Txn: fmt.Sprint(life, "-", i), Do: core.Void, Now: k.now()}, k.now()+1e6)
+				kept := k.Answering(core.Ending{Request: fmt.Sprint(life, "-", i), Do: core.Void, Now: k.now()}, k.now()+1e6)
 				if i%100 != 0 { // else as if killed in between
 					k.Answered(kept, k.now(), i%2 == 0)
 				}
@@ -312,7 +312,7 @@
 					all.Go(func() {
 						for left.Add(-1) >= 0 {
 							now := k.now()
-							kept := k.Answering(core.Ending{Txn: "0123456789abcdef", Do: core.Settle, Reason: "answered",
+							kept := k.Answering(core.Ending{Request: "0123456789abcdef", Do: core.Settle, Reason: "answered",
 								Appliance: "s-5be2a07c", Now: now, Body: body}, now+1e6)
 							k.Answered(kept, k.now(), true)
 						}
