Places of a new build leave out what still drains from the one before

Cause: state.go offered counted every appliance not gone as a place, also those that the build before had replaced and that still drained, so a stage's part of the places was never reached. Now a draining one counts only if it has the build that most running ones have.

Test: TestPlaces, four fleets; two fail without it.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -602,6 +602,39 @@
 	}
 }
 
+// The places of a new build are those of the fleet as it is: machines that the build before it has replaced, or that go with a
+// withdrawn one, still drain and are none, while what the new one drains already is one.
+func TestPlaces(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		old, before, new      int // appliances of builds 1 and 2, and of build 3
+		oldState, beforeState State
+		want                  int
+	}{
+		{"nothing else", 0, 6, 0, Running, Running, 6},
+		{"the one before has replaced all", 6, 6, 0, Draining, Running, 6},
+		{"the one before goes back", 6, 3, 0, Running, Draining, 6},
+		{"the new one drains some already", 0, 6, 2, Running, Running, 6},
+	} {
+		a, _ := tier(Product{}, 0)
+		var list []Listed
+		add := func(n, build int, state State) {
+			for k := range n {
+				list = append(list, Listed{ID: fmt.Sprint(build, "-", k), Build: build, Rating: 1, State: state})
+			}
+		}
+		add(c.old, 1, c.oldState)
+		add(c.before, 2, c.beforeState)
+		for k := range c.new {
+			list[k].State = Draining
+		}
+		add(c.new, 3, Running)
+		a.List(5, list, true, false)
+		a.News(10, 3, 0, OnTrial, Unasked, 0.1, 0, true)
+		expect(t, c.name, a.places, c.want)
+	}
+}
+
 // Races are run while what they save is worth their price, by the settings; else requests go out at once.
 func TestRacePrice(t *testing.T) {
 	for _, c := range []struct {
--- a/policy/state.go
+++ b/policy/state.go
@@ -583,8 +583,10 @@
 	}
 	a.fade()
 	a.places, a.placed = 0, 0
+	base := a.prevailing(build)
 	for i := range a.id {
-		if a.state[i] != Gone && a.builds[i] < build { // also what its successor already drains
+		// Also what its successor already drains, but nothing that the build before it, or its withdrawal, has replaced.
+		if a.state[i] == Running && a.builds[i] < build || a.state[i] == Draining && a.builds[i] == base {
 			a.places++
 			a.placed += a.rating[i]
 		}
@@ -609,6 +611,19 @@
 	a.judgeAt = a.now
 }
 
+// prevailing is the build that most of the running appliances have, of those before a build; the newest of such.
+func (a *Agent) prevailing(build int) (base int) {
+	counts, most := map[int]int{}, 0
+	for i := range a.id {
+		if b := a.builds[i]; a.state[i] == Running && b < build {
+			if counts[b]++; counts[b] > most || counts[b] == most && b > base {
+				base, most = b, counts[b]
+			}
+		}
+	}
+	return base
+}
+
 // fade forgets keys seen long ago: popularity is of late, and the record must not grow for ever.
 func (a *Agent) fade() {
 	for k, n := range a.sightings {
