A request can be followed by its id in the log; releases log their states

The instances' logs in the report are empty of all that matters: which release an attempt went to, by which key, and what an instance made of a release's news. Change: at level debug one line each for a request (class, key, time left), each attempt (backend, release, result, error) and the answer (reason), by the request's id; at level info a line when a release's state changes, with what told it, and one when a backend of a release is listed before any news of that release. The release of an attempt is now kept whether or not a part asks (core's list of builds).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,7 +46,7 @@
 	by       float64 // while leaving: when everything has its answer
 	counts   Counts
 	parts    []Part         // never changed once requests come
-	builds   map[string]int // appliances' builds as listed, kept only for the parts
+	builds   map[string]int // appliances' builds as listed
 }
 
 // Counts are what has been since the start, and what is open now.
@@ -60,7 +60,7 @@
 func New(calls Calls) *Core {
 	now := time.Now()
 	return &Core{calls: calls, from: now, fromMs: float64(now.UnixNano()) / 1e6, requests: map[string]*Request{},
-		lines: make(chan string, 256)}
+		builds: map[string]int{}, lines: make(chan string, 256)}
 }
 
 // Start makes the module.
@@ -261,6 +261,9 @@
 	return t
 }
 
+// Age is how long (ms) ago the request came.
+func (t *Request) Age() float64 { return t.core.Now() - t.Came }
+
 // Next waits for the next action.
 func (t *Request) Next() Action {
 	for {
@@ -378,7 +381,7 @@
 // Attempt is one try at an appliance.
 type Attempt struct {
 	Appliance string
-	Build     int // as listed when it went out; 0 where no part asks
+	Build     int // as listed when it went out
 	Until     float64
 	request   *Request
 	n         int
@@ -390,6 +393,15 @@
 	halt      Halter
 }
 
+// Request is the id of the request that it belongs to.
+func (s *Attempt) Request() string { return s.request.ID }
+
+// Number counts a request's attempts from 0.
+func (s *Attempt) Number() int { return s.n }
+
+// Took is how long (ms) ago it was decided.
+func (s *Attempt) Took() float64 { return s.request.core.Now() - s.at }
+
 // Begin names what is to be interrupted when the attempt is called off, or nothing any more; it tells how it stands.
 func (s *Attempt) Begin(halt Halter) (called, late bool) {
 	c := s.request.core
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -44,18 +44,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.parts = append(c.parts, p)
-	if c.builds == nil {
-		c.builds = map[string]int{}
-	}
 }
 
 // carries notes which build each appliance runs.
 func (c *Core) carries(entries []policy.Listed, whole bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.builds == nil {
-		return
-	}
 	if whole {
 		clear(c.builds)
 	}
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -228,6 +228,7 @@
 		f.refuse(w, http.StatusBadRequest, "this id is held already")
 		return
 	}
+	traceTaken(t, parts[1], key, r.Header.Get("Req-Retry") == "1", left)
 	answered, under := false, (*core.Attempt)(nil)
 	defer func() { // whatever fails, the request ends here, with an answer where none was given
 		if failed := recover(); failed != nil {
@@ -244,7 +245,11 @@
 	}()
 	defer context.AfterFunc(r.Context(), t.Hangup)() // the client has gone
 	for {
-		switch a := t.Next(); a.Do {
+		a := t.Next()
+		if a.Do != core.Submit {
+			traceAnswer(t, a)
+		}
+		switch a.Do {
 		case core.Submit:
 			if f.revokes {
 				under = a.Sub
--- /dev/null
+++ b/internal/httpwire/trace.go
@@ -0,0 +1,51 @@
+package httpwire
+
+// This file owns the debug lines that follow one request: taken, each attempt, and its end, all by the request's id. It must
+// cost nothing but a comparison where the level is above debug.
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"onyxgate/internal/core"
+	"onyxgate/policy"
+)
+
+// resultNames are the words by which attempts' results appear in the log.
+var resultNames = [...]string{policy.Settled: "served", policy.Errored: "error", policy.Rejected: "rejected",
+	policy.TimedOut: "timeout", policy.Unconnected: "unconnected", policy.Broken: "reset", policy.Revoked: "canceled",
+	policy.Moot: "unsent"}
+
+// answerNames are the words by which a request's end appears in the log.
+var answerNames = [...]string{core.Submit: "attempt", core.Settle: "served", core.Decline: "rejected", core.Void: "failed",
+	core.Leave: "client left"}
+
+func tracing() bool { return logrus.IsLevelEnabled(logrus.DebugLevel) }
+
+// traceTaken logs that a request was handed to the decisions.
+func traceTaken(t *core.Request, class, key string, retry bool, left float64) {
+	if tracing() {
+		logrus.WithFields(logrus.Fields{"request": t.ID, "class": class, "key": key, "retry": retry, "left_ms": int(left)}).
+			Debug("request")
+	}
+}
+
+// traceAttempt logs how an attempt ended, and at which release's backend.
+func traceAttempt(s *core.Attempt, result policy.Result, err error) {
+	if !tracing() {
+		return
+	}
+	entry := logrus.WithFields(logrus.Fields{"request": s.Request(), "attempt": s.Number(), "backend": s.Appliance,
+		"release": s.Build, "result": resultNames[result], "took_ms": int(s.Took())})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Debug("attempt")
+}
+
+// traceAnswer logs a request's one final answer and the reason for it.
+func traceAnswer(t *core.Request, a core.Action) {
+	if tracing() {
+		logrus.WithFields(logrus.Fields{"request": t.ID, "answer": answerNames[a.Do], "reason": a.Reason,
+			"took_ms": int(t.Age())}).Debug("answer")
+	}
+}
--- /dev/null
+++ b/internal/httpwire/trace_test.go
@@ -0,0 +1,69 @@
+package httpwire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/sirupsen/logrus"
+)
+
+// A request's whole course can be followed by its id at level debug, and nothing of it is logged above.
+func TestTrace(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		level logrus.Level
+		peer  string // the backend's answer
+		want  []string
+	}{
+		{"served", logrus.DebugLevel, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			[]string{"msg=request class=look key=7", "msg=attempt attempt=0 backend=s level=debug release=1 request=r1 result=served", "msg=answer answer=served level=debug reason=answered request=r1"}},
+		{"rejected", logrus.DebugLevel, "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n",
+			[]string{"result=rejected", "answer=rejected level=debug reason=rejected"}},
+		{"level info", logrus.InfoLevel, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			logger := logrus.StandardLogger()
+			out, level, formatter := logger.Out, logger.Level, logger.Formatter
+			defer func() {
+				logrus.SetOutput(out)
+				logrus.SetLevel(level)
+				logrus.SetFormatter(formatter)
+			}()
+			var log bytes.Buffer
+			logrus.SetOutput(&log)
+			logrus.SetLevel(c.level)
+			logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, DisableTimestamp: true,
+				SortingFunc: messageFirst})
+			synctest.Test(t, func(t *testing.T) {
+				a := newAgent(network{"app:1": once(c.peer)}, NewSockets(0))
+				a.ask(t, "GET /look/7 HTTP/1.1\r\nHost: a\r\nReq-Id: r1\r\nReq-Deadline: 900m\r\n\r\n")
+				a.close()
+			})
+			rest := log.String()
+			for _, want := range c.want {
+				at := strings.Index(rest, want)
+				if at < 0 {
+					t.Fatalf("no %q, in this order, in:\n%s", want, log.String())
+				}
+				rest = rest[at:]
+			}
+			if c.want == nil && strings.Contains(rest, "r1") {
+				t.Errorf("logged at level info:\n%s", rest)
+			}
+		})
+	}
+}
+
+// messageFirst orders a line's fields: the message, then the others by name.
+func messageFirst(names []string) {
+	for i := range names {
+		for k := i; k > 0; k-- {
+			before, after := names[k-1], names[k]
+			if after == "msg" && before != "msg" || before != "msg" && after < before {
+				names[k-1], names[k] = after, before
+			}
+		}
+	}
+}
--- a/internal/httpwire/upstream.go
+++ b/internal/httpwire/upstream.go
@@ -470,7 +470,8 @@
 
 // Submit carries out one attempt of a request and tells its end.
 func (u *Upstream) Submit(s *core.Attempt, head, body []byte) {
-	result, r := u.submit(s, head, body)
+	result, r, err := u.submit(s, head, body)
+	traceAttempt(s, result, err)
 	waiting, busy := -1.0, -1.0
 	if u.onAnswers && r.load != "" {
 		waiting, busy = load(r.load)
@@ -478,30 +479,36 @@
 	s.End(result, answer{r.kind, r.body}, waiting, busy)
 }
 
+var (
+	errNoAddress = errors.New("its backend is not listed")
+	errMoved     = errors.New("its backend left while the connection came up")
+	errCalledOff = errors.New("called off before it was sent")
+)
+
 // submit follows the protocol's table of outcomes.
-func (u *Upstream) submit(s *core.Attempt, head, body []byte) (policy.Result, reply) {
+func (u *Upstream) submit(s *core.Attempt, head, body []byte) (policy.Result, reply, error) {
 	address := u.address(s.Appliance)
 	if address == "" {
-		return policy.Unconnected, reply{}
+		return policy.Unconnected, reply{}, errNoAddress
 	}
 	c, err := u.get(s, address)
 	if err != nil {
 		called, _ := s.Begin(nil)
 		if called || errors.Is(err, errNoSocket) { // the agent's own want must not pass for the appliance's
-			return policy.Moot, reply{}
+			return policy.Moot, reply{}, err
 		}
-		return policy.Unconnected, reply{}
+		return policy.Unconnected, reply{}, err
 	}
 	if !u.stands(c) { // what was to be called has left while this came up
 		u.end(c)
-		return policy.Moot, reply{}
+		return policy.Moot, reply{}, errMoved
 	}
 	if called, late := s.Send(c); called || late { // it must not go out now
 		u.put(c)
 		if called {
-			return policy.Moot, reply{}
+			return policy.Moot, reply{}, errCalledOff
 		}
-		return policy.Unconnected, reply{}
+		return policy.Unconnected, reply{}, context.DeadlineExceeded
 	}
 	call := make([]byte, 0, len(head)+len(body)+40)
 	call = append(append(call, head...), "Req-Deadline: "...)
@@ -515,21 +522,21 @@
 	}
 	switch {
 	case errors.Is(err, errUnsent) && called:
-		return policy.Moot, r
+		return policy.Moot, r, err
 	case err != nil && called:
-		return policy.Revoked, r
+		return policy.Revoked, r, err
 	case errors.Is(err, errUnsent):
-		return policy.Unconnected, r
+		return policy.Unconnected, r, err
 	case err != nil && late:
-		return policy.TimedOut, r
+		return policy.TimedOut, r, err
 	case err != nil:
-		return policy.Broken, r
+		return policy.Broken, r, err
 	case r.status == http.StatusOK:
-		return policy.Settled, r
+		return policy.Settled, r, err
 	case (r.status == http.StatusServiceUnavailable || r.status == http.StatusGatewayTimeout) && r.declined:
-		return policy.Rejected, r
+		return policy.Rejected, r, err
 	}
-	return policy.Errored, r
+	return policy.Errored, r, err
 }
 
 // Probe asks an appliance how it is, on a connection like any other.
--- a/policy/port.go
+++ b/policy/port.go
@@ -100,6 +100,10 @@
 	Withdrawn
 )
 
+func (p Phase) String() string {
+	return [...]string{"on trial", "going back", "released", "withdrawn"}[p]
+}
+
 // Reply is how the platform answered a vote.
 type Reply uint8
 
@@ -111,6 +115,14 @@
 	Idle    // not the present build or stage
 )
 
+// String says by what a release's state was told.
+func (r Reply) String() string {
+	if r == Unasked {
+		return "news"
+	}
+	return "a vote's answer"
+}
+
 // Control says what moves a stage on.
 type Control uint8
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -390,6 +391,9 @@
 				a.level[i] = a.rnd.Float64()
 			}
 		}
+		if a.known && e.Build > a.newest && a.builds[i] != e.Build {
+			a.port.Log(fmt.Sprintf("release %d: listed before any news of it, the newest announced is %d", e.Build, a.newest))
+		}
 		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
 		a.state[i], a.rating[i], a.start[i], a.goneAt[i] = e.State, max(e.Rating, 0.01), e.Start, now
 	}
@@ -761,6 +765,9 @@
 		if !a.known || build != a.newest {
 			a.offered(build)
 		}
+		if !a.known || build != a.newest || stage != a.stage || phase != a.phase {
+			a.port.Log(fmt.Sprintf("release %d: stage %d, phase %s, cap %.2f, by %s", build, stage, phase, limit, reply))
+		}
 		if stage != a.stage || phase != a.phase {
 			a.phaseAt = now - age
 			a.voteAt = 0
