--- a/internal/standin/tier/clients.go
+++ b/internal/standin/tier/clients.go
@@ -38,12 +38,13 @@
 	down    []time.Time
 	ids     uint64
 	prefix  string
+	Keys    int // distinct keys of requests
 }
 
 // NewClients makes clients of agents at these addresses.
 func NewClients(w *World, address []string, seed uint64) *Clients {
 	return &Clients{world: w, address: address, idle: make([][]net.Conn, len(address)), open: make([]int, len(address)),
-		down: make([]time.Time, len(address)), prefix: fmt.Sprintf("%04x", seed&0xffff)}
+		down: make([]time.Time, len(address)), prefix: fmt.Sprintf("%04x", seed&0xffff), Keys: 1000}
 }
 
 // Log is what all of them got so far.
@@ -73,7 +74,7 @@
 			}
 			share -= q.Share
 		}
-		agent, key, mark := chance.IntN(len(c.address)), chance.IntN(1000), fmt.Sprintf("%016x", chance.Uint64())
+		agent, key, mark := chance.IntN(len(c.address)), chance.IntN(c.Keys), fmt.Sprintf("%016x", chance.Uint64())
 		all.Go(func() { c.txn(p, agent, key, mark) })
 	}
 	all.Wait()
--- /dev/null
+++ b/internal/standin/tier/control.go
@@ -0,0 +1,76 @@
+package tier
+
+// This file owns what a test does to the world by hand: which backends of which release are listed, and what the platform says
+// of the newest release. Without it votes move the roll-out.
+
+import "time"
+
+// Manual leaves the roll-out to the caller: votes are answered with the state as it is and move nothing.
+func (w *World) Manual() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.manual = true
+}
+
+// StartBackends lists n more backends of a release, warm ones: none of them is limited by its start.
+func (w *World) StartBackends(release, n, cores int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for range n {
+		if err := w.start(release, cores, time.Time{}); err != nil {
+			return err
+		}
+	}
+	w.publish()
+	return nil
+}
+
+// DrainBackends lists n backends of a release as draining.
+func (w *World) DrainBackends(release, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.fleet {
+		if a.Build == release && a.state == "Ready" && n > 0 {
+			n--
+			w.drain(a)
+		}
+	}
+	w.publish()
+}
+
+// Announce makes a state the newest release's, and tells it on every stream of notices.
+func (w *World) Announce(s Stage) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.At = time.Now()
+	w.stage, w.began = s, s.At
+	w.Stages = append(w.Stages, s)
+	if s.Mode == "reverting" || s.Mode == "reverted" {
+		w.affinity.goesBack(s.Build)
+	}
+	w.tell()
+}
+
+// VoteCount is how many votes have come so far.
+func (w *World) VoteCount() (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, count := range w.Votes {
+		n += count
+	}
+	return n
+}
+
+// Attempts is how many attempts have reached backends of a release.
+func (w *World) Attempts(release int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.attempts[release]
+}
+
+// Affinity is what was seen of the rule on keys so far.
+func (w *World) Affinity() Affinity {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.affinity.seen
+}
--- a/internal/standin/tier/serve.go
+++ b/internal/standin/tier/serve.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,6 +118,9 @@
 	if s := w.stage; a.Build == s.Build && s.Mode == "canary" {
 		w.trials[agent] = append(w.trials[agent], time.Now())
 	}
+	key := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+	w.attempts[a.Build]++
+	w.affinity.attempt(agent, key, id, a.Build)
 	draining := a.state != "Ready"
 	w.mu.Unlock()
 	a.inside.Add(1)
@@ -151,6 +155,9 @@
 	rw.Header().Set("Content-Type", "text/plain")
 	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	io.WriteString(rw, answer)
+	w.mu.Lock()
+	w.affinity.answered(agent, key, a.Build)
+	w.mu.Unlock()
 }
 
 func decline(rw http.ResponseWriter) {
--- a/internal/standin/tier/tier.go
+++ b/internal/standin/tier/tier.go
@@ -5,6 +5,7 @@
 // This file owns the world: who is in the fleet, the roll-out, and the configuration that an agent starts with.
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -81,6 +82,12 @@
 	Drains int                         // told
 	Late   time.Duration               // the latest work at an appliance after its agent was told that it drains or is gone
 	reach  []map[int64]map[string]bool // appliances that an agent's work reached, by second
+
+	KeysStay bool           // a key that a release has answered goes to no earlier one
+	Platform map[int]string // where an agent finds the platform, in place of its own address
+	manual   bool           // votes move nothing
+	attempts map[int]int    // that reached backends, by release
+	affinity affinity
 }
 
 // Broken counts breaches of the rules as seen from outside; lost txns are the clients' to count.
@@ -92,7 +99,8 @@
 func New(agents, appliances, cores int, seed uint64) (*World, error) {
 	w := &World{Agents: agents, chance: rand.New(rand.NewPCG(seed, 1)), watch: map[*listener]bool{},
 		notice: map[*listener]bool{}, Votes: map[string]int{}, marks: map[string]time.Time{}, ran: map[string]int{},
-		takens: make([][]time.Time, agents), trials: make([][]time.Time, agents), muted: map[int]bool{}}
+		takens: make([][]time.Time, agents), trials: make([][]time.Time, agents), muted: map[int]bool{},
+		Platform: map[int]string{}, attempts: map[int]int{}, affinity: affinity{answers: map[agentKey][]answeredBy{}}}
 	for range agents {
 		w.reach = append(w.reach, map[int64]map[string]bool{})
 	}
@@ -119,6 +127,9 @@
 	return w, nil
 }
 
+// PlatformAddress is the platform's own address.
+func (w *World) PlatformAddress() string { return w.votes.Addr().String() }
+
 // Close ends it all.
 func (w *World) Close() {
 	w.mu.Lock()
@@ -207,6 +218,8 @@
 	w.Votes[ruling]++
 	s := w.stage
 	switch {
+	case w.manual && build == s.Build:
+		return 200, ""
 	case build != s.Build || stage != s.Stage || s.Mode != "canary" && ruling != "abort":
 		return 400, "STALE"
 	case ruling == "promote" && time.Since(w.began) > time.Second && s.Stage+1 < len(rings):
@@ -290,7 +303,7 @@
 	s := w.stage
 	text, err := json.Marshal(map[string]any{"name": name, "listen": listen, "discovery": w.lists[agent].Addr().String(),
 		"seed": fmt.Sprintf("%x", seed), "limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024},
-		"pipeline": map[string]any{"address": w.votes.Addr().String(), "news": map[string]any{"release": s.Build,
+		"pipeline": map[string]any{"address": cmp.Or(w.Platform[agent], w.PlatformAddress()), "news": map[string]any{"release": s.Build,
 			"tranche": s.Stage, "mode": s.Mode, "exposure": s.Cap, "old_ms": time.Since(s.At).Milliseconds()}},
 		"known": w.list(agent, true),
 		"settings": map[string]any{"me": agent, "balancers": w.Agents, "grades": grades, "dcs": []string{"z"},
@@ -299,8 +312,9 @@
 				"connect-timeout-us": 250000, "idle-close-us": 30000000},
 			"contract": map[string]any{"drain-grace-us": us(Grace), "cold-from": ColdFrom, "warm-up-us": us(WarmUp),
 				"overload-factor": Overload, "fall-us": us(FallTime)},
-			"family-info": map[string]any{"spare-tries": FreeTrys, "most-shares": caps, "rings": rings,
-				"decided-by": "single", "back-votes": 1, "ballot-ttl-us": 4000000, "call-timeout-us": 800000}}})
+			"family-info": map[string]any{"spare-tries": FreeTrys, "most-shares": caps, "rings": rings, "keys-stay": w.KeysStay,
+				"counted-over-us": us(Window),
+				"decided-by":      "single", "back-votes": 1, "ballot-ttl-us": 4000000, "call-timeout-us": 800000}}})
 	if err != nil {
 		panic(err)
 	}
