Each release has its own record: keys, caps and closing are asked of the release meant

Lines at fault, of: binds (a listed release got no affinity while the one announced before it was withdrawn), draw (the salt a.newest drew other keys as the news came), capOf (an earlier release was free, withdrawn or not), News (states in order of arrival, from notices, votes' answers and the configuration), file (outcomes of a release whose news was to come were evidence on the one before, and a withdrawn one's on the fleet's), answered (an answer to a vote on the release before stood for the new one). Change: policy/release holds a record for each release and one state machine that never goes back; policy/exposure the allowance and, by release, the keys answered and pending; policy/releases.go asks both. An attempt whose connection came up late is asked again as it is sent (Sendable). A new process starts with no free attempts inside its first window, and draws the same keys for a trial as the one before it. The stand-in no longer counts an answer of a release that goes back as binding.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -54,6 +54,7 @@
 	Taken, Settled, Declined, Voided, Gone int
 	Ends                                   [policy.Moot + 1]int // attempts, by result
 	Open, Out, Timers                      int
+	Withdrawn                              int // attempts that might not go out any more when their connection was up
 }
 
 // New starts the clock; no event may come before Start.
@@ -412,11 +413,15 @@
 }
 
 // Send is Begin for the moment at which the call's bytes go out: unless it has been called off or is late, it counts as
-// sent from here on.
+// sent from here on. What was decided before its connection came up may not hold any more: the module is asked once again.
 func (s *Attempt) Send(halt Halter) (called, late bool) {
 	c := s.request.core
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !s.called && !s.late && !c.agent.Sendable(s.request.ID, s.n) {
+		s.called = true
+		c.counts.Withdrawn++
+	}
 	if s.called || s.late {
 		s.halt = nil
 	} else {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -47,6 +47,7 @@
 		Ms(rules.Get("fall-us")))
 	a.Expose(fam.Get("spare-tries").Num, numbers(fam.Get("most-shares")), int(fam.Get("guarded-stages").Int()),
 		fam.Get("counted-by").Str == "per_lane", fam.Get("keys-stay").Bool())
+	a.CountOver(Ms(fam.Get("counted-over-us")))
 	a.Judge(numbers(fam.Get("rings")), controls[fam.Get("decided-by").Str], int(fam.Get("back-votes").Int()),
 		Ms(fam.Get("ballot-ttl-us")))
 	quotas := []float64{}
--- a/internal/standin/tier/affinity.go
+++ b/internal/standin/tier/affinity.go
@@ -30,6 +30,7 @@
 // affinity is under the world's lock.
 type affinity struct {
 	answers map[agentKey][]answeredBy // the first answer of each release
+	back    map[int]bool              // releases that go back: they bind nothing from there on
 	seen    Affinity
 }
 
@@ -51,6 +52,9 @@
 
 // answered notes that a good answer has been written.
 func (a *affinity) answered(agent int, key string, release int) {
+	if a.back[release] {
+		return
+	}
 	k := agentKey{agent, key}
 	for _, answer := range a.answers[k] {
 		if answer.release == release {
@@ -62,6 +66,7 @@
 
 // goesBack frees the keys of a release.
 func (a *affinity) goesBack(release int) {
+	a.back[release] = true
 	for k, answers := range a.answers {
 		kept := answers[:0]
 		for _, answer := range answers {
--- /dev/null
+++ b/policy/exposure/allowance.go
@@ -0,0 +1,63 @@
+package exposure
+
+// Allowance limits the attempts at each release under a cap. In any stretch of time at most the free attempts and the cap's
+// share of the requests taken in it can leave: each request taken adds the cap to a balance that never exceeds the free
+// ones, and each attempt takes one off.
+type Allowance struct {
+	free     float64
+	lanes    int
+	from     float64           // before this time a balance opens at nothing
+	balances map[int][]float64 // by release, then by lane
+}
+
+// NewAllowance makes one for a number of lanes, which count each for itself.
+func NewAllowance(free float64, lanes int) *Allowance {
+	return &Allowance{free: free, lanes: max(lanes, 1), balances: map[int][]float64{}}
+}
+
+// Hold keeps the free attempts back until a time (ms): the process before this one may have used them inside the same window.
+func (w *Allowance) Hold(until float64) { w.from = until }
+
+// balance is a release's; it is opened on first use.
+func (w *Allowance) balance(release int, now float64) []float64 {
+	b := w.balances[release]
+	if b == nil {
+		b = make([]float64, w.lanes)
+		if now >= w.from {
+			for lane := range b {
+				b[lane] = w.free
+			}
+		}
+		w.balances[release] = b
+	}
+	return b
+}
+
+// Allows tells whether one more attempt may go to a release.
+func (w *Allowance) Allows(release, lane int, now float64) bool {
+	return w.balance(release, now)[lane] >= 1
+}
+
+// Use counts one attempt.
+func (w *Allowance) Use(release, lane int, now float64) { w.balance(release, now)[lane]-- }
+
+// Taken counts one request that was taken; limit says what each release's cap is, and whether it has one.
+func (w *Allowance) Taken(lane int, limit func(release int) (float64, bool)) {
+	for release, b := range w.balances { // each by itself, so that the order does not matter
+		if share, limited := limit(release); limited {
+			b[lane] = min(b[lane]+share, w.free)
+		}
+	}
+}
+
+// Forget drops the balances of releases before one.
+func (w *Allowance) Forget(before int) {
+	for release := range w.balances {
+		if release < before {
+			delete(w.balances, release)
+		}
+	}
+}
+
+// Len is how many balances are open.
+func (w *Allowance) Len() int { return len(w.balances) }
--- a/policy/notes.go
+++ b/policy/notes.go
@@ -76,7 +76,6 @@
 
 // file keeps evidence in order of time.
 func (a *Agent) file(build, product int, o outcome) {
-	arm := index(build >= a.newest)
 	u := &a.usualLat[product]
 	if *u == 0 {
 		*u = o.lat
@@ -84,6 +83,10 @@
 	*u += usualStep * (o.lat - *u)
 	o.rel = o.lat / max(*u, 1e-9)
 	o.steady = !o.bad && a.steady(o.app, o.rel)
+	if !a.book.Judged(build) { // of a release whose news is to come, or one that has been taken off
+		return
+	}
+	arm := index(build >= a.newest)
 	e := a.evidence[arm][product]
 	k := len(e)
 	for k > 0 && e[k-1].at > o.at {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -117,19 +117,6 @@
 
 // ---- guards: every submission passes mayGo and send, every final answer passes end
 
-// capOf is the cap on a build, and whether it is on trial at all.
-func (a *Agent) capOf(build int) (float64, bool) {
-	switch {
-	case !a.known || build < a.newest || build == a.newest && a.phase == Released:
-		return 1, false
-	case build == a.newest:
-		return a.cap, true
-	case len(a.caps) > 0:
-		return a.caps[0], true
-	}
-	return 0, true
-}
-
 // mayGo guards rules 2 to 5 for one submission of t to appliance i.
 func (a *Agent) mayGo(t *txn, i int) bool {
 	if t.ended || a.now >= t.expiry || len(t.subs) >= a.maxSubs || t.out > 1 || t.out == 1 && !a.copies ||
@@ -151,23 +138,6 @@
 	return a.exposed(t, i) && a.warmEnough(t, i)
 }
 
-// exposed keeps the cap by a bucket: in any stretch of time at most free + cap x txns taken in it can leave.
-func (a *Agent) exposed(t *txn, i int) bool {
-	limit, on := a.capOf(a.builds[i])
-	if free := a.builds[i] >= max(a.ties[t.key], a.owing[t.key].build); !on || !free {
-		return free
-	}
-	guarded := a.stage < a.guarded || a.builds[i] > a.newest && a.guarded > 0
-	shut := limit <= 0 || guarded && a.products[t.product].Effect != InquiryLike
-	return !shut && a.bucket(a.builds[i])[a.lane(t.product)] >= 1
-}
-
-// binds: an answer from this build keeps the key from earlier ones, while any are there and it stays.
-func (a *Agent) binds(t *txn, build int) bool {
-	called := a.phase == GoingBack || a.phase == Withdrawn
-	return a.keysStay && t.key != "" && a.known && build > a.oldest && (build < a.newest || !called)
-}
-
 // warmEnough keeps the cold budget: a part, by the least warmth, of what warm appliances are seen to serve.
 func (a *Agent) warmEnough(t *txn, i int) bool {
 	c := a.coldness(i)
@@ -214,7 +184,7 @@
 		t.revenue *= a.overWorth
 	}
 	a.worth += (t.revenue - a.worth) * max(usualStep, 1/a.taken)
-	a.fill(a.lane(t.product))
+	a.allowance.Taken(a.lane(t.product), a.book.Cap)
 	a.todo, a.spares = append(a.todo, t), min(a.spares+giveUp, giveUpMost)
 	a.look(t.expiry-endGuard, t)
 }
@@ -390,15 +360,17 @@
 }
 
 // last: earlier machines that stay are idle in a stage over all places, and latencies are not compared.
-func (a *Agent) last() bool { return a.stage == len(a.stages)-1 && a.placed > 0 }
+func (a *Agent) last() bool {
+	return a.stage == len(a.stages)-1 && a.placed > 0 && a.trialRelease <= a.newest
+}
 
 // pick chooses the arm, then of some random appliances in it the one with least to do for its size.
 func (a *Agent) pick(t *txn) int {
 	// What failed on the trial build is tried elsewhere.
-	failed := len(t.subs) > 0 && t.subs[len(t.subs)-1].build >= a.newest
+	failed := len(t.subs) > 0 && a.limited(t.subs[len(t.subs)-1].build)
 	trial := !failed && a.draw(t) < a.share()
-	untied := a.keysStay && a.cap < 1 && t.key != "" && a.ties[t.key] == 0
-	if untied && a.sightings[t.key] > 2+popularShare*a.cap*a.taken {
+	untied := t.affinity != 0 && a.trialCap < 1 && a.affinity.Floor(t.affinity) < a.trialRelease
+	if untied && a.sightings[t.key] > 2+popularShare*a.trialCap*a.taken {
 		trial = false // a popular key, once tied, could need more than the allowance
 	}
 	if i := a.pickIn(t, trial); i >= 0 || !trial && untied {
@@ -407,10 +379,11 @@
 	return a.pickIn(t, !trial)
 }
 
-// draw is a txn's place in [0,1): by key where keys stay with a build, so the trial's keys are the same ones.
+// draw is a txn's place in [0,1): by key where keys stay with a release. The trial's keys are the same ones from the first
+// listing of its release on, before its news, after it and in a process that starts anew.
 func (a *Agent) draw(t *txn) float64 {
-	if a.keysStay && t.key != "" {
-		return spot(t.key, a.salt^uint64(a.newest))
+	if t.affinity != 0 {
+		return spot(t.key, a.salt^uint64(max(a.trialRelease, a.newest)))
 	}
 	return a.rnd.Float64()
 }
@@ -494,9 +467,9 @@
 	if r == Settled {
 		a.learn(s.app, t, took)
 	}
-	// An answer that was spoilt on its way, or came when nobody read it, has tied its key all the same.
-	if a.binds(t, s.build) && r != Errored && !s.unrun {
-		a.ties[t.key] = max(a.ties[t.key], s.build)
+	// An answer that was spoilt on its way, or came when nobody read it, has bound its key all the same.
+	if r != Errored && !s.unrun {
+		a.bind(t, s)
 	}
 	// Proven not run, called off: no word on the build.
 	if a.known && !math.IsInf(took, 1) && !s.unrun && r != Revoked {
@@ -515,9 +488,13 @@
 
 // ---- the trial: evidence, gates, votes
 
-// answered reads the platform's answer to the vote that is out.
+// answered reads the platform's answer to the vote that is out. What was asked of a release before the newest one says nothing
+// of votes on that.
 func (a *Agent) answered(reply Reply) {
 	a.pending = false
+	if a.askingRelease != a.newest {
+		return
+	}
 	if reply == Counted {
 		a.stands, a.standsStage = a.asking, a.askingStage
 		a.renew = a.now + a.life*(renewAt+renewSpread*a.rnd.Float64())
@@ -725,7 +702,7 @@
 }
 
 func (a *Agent) vote() {
-	a.pending, a.asking, a.askingStage = true, a.want, a.stage
+	a.pending, a.asking, a.askingStage, a.askingRelease = true, a.want, a.stage, a.newest
 	a.port.Vote(a.newest, a.want, a.stage)
 	if a.want == Back { // many agents that say 'on' would fill any log
 		a.port.Log(fmt.Sprintf("vote back on build %d stage %d: %s", a.newest, a.stage, a.reason))
--- a/policy/port.go
+++ b/policy/port.go
@@ -1,6 +1,8 @@
 // Package policy decides for one agent: where txns go, what they are answered, and how builds are voted on.
 package policy
 
+import "onyxgate/policy/release"
+
 // Port is how the module acts. The bench's adapter and a live agent each bring one; times are milliseconds.
 type Port interface {
 	Submit(txn, appliance string, limit float64)
@@ -90,20 +92,16 @@
 	Back
 )
 
-// Phase is where a build stands.
-type Phase uint8
+// Phase is where a release stands.
+type Phase = release.Phase
 
 const (
-	OnTrial Phase = iota
-	GoingBack
-	Released
-	Withdrawn
+	OnTrial   = release.OnTrial
+	GoingBack = release.GoingBack
+	Released  = release.Released
+	Withdrawn = release.Withdrawn
 )
 
-func (p Phase) String() string {
-	return [...]string{"on trial", "going back", "released", "withdrawn"}[p]
-}
-
 // Reply is how the platform answered a vote.
 type Reply uint8
 
--- /dev/null
+++ b/policy/releases_test.go
@@ -0,0 +1,356 @@
+package policy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// keyed starts an agent whose keys stay, on so many backends of release 1, with news of that and a cap for the first stage.
+func keyed(backends int, limit float64) (*Agent, *record) {
+	a, r := tier(Product{}, backends)
+	a.Expose(2, []float64{limit, 1}, 0, false, true)
+	a.News(2, 1, 2, Released, Unasked, 1, 0, true)
+	return a, r
+}
+
+// where is the backend to which the only attempt of what was done goes; empty: there is none.
+func where(did []string) (backend string) {
+	for _, line := range did {
+		if strings.HasPrefix(line, "submit ") {
+			backend = line[strings.LastIndexByte(line, ' ')+1:]
+		}
+	}
+	return backend
+}
+
+// A key that a release has answered, or may be answering, goes to no earlier one, whichever came first, the list or the news.
+func TestAffinityCrossings(t *testing.T) {
+	trial := func(a *Agent, now float64, release int) {
+		a.News(now, release, 0, OnTrial, Unasked, 1, 0, true)
+	}
+	listed := func(a *Agent, now float64, id string, release int, state State) {
+		a.List(now, []Listed{{ID: id, Build: release, Rating: 1, State: state}}, false, false)
+	}
+	withdrawn := func(a *Agent, now float64, release int) {
+		a.News(now, release, 0, OnTrial, Unasked, 1, 0, true)
+		a.News(now+1, release, 0, Withdrawn, Unasked, 0, 0, true)
+	}
+	for _, c := range []struct {
+		name   string
+		before func(a *Agent) // up to the first answer: only x is there to give it
+		after  func(a *Agent) // then, before the key comes again: only a is there
+		open   bool           // a may serve the key
+	}{
+		{"news, list", func(a *Agent) { trial(a, 5, 2); listed(a, 6, "x", 2, Running) }, nil, false},
+		{"list, no news", func(a *Agent) { listed(a, 6, "x", 2, Running) }, nil, false},
+		{"list, then news", func(a *Agent) { listed(a, 6, "x", 2, Running) }, func(a *Agent) { trial(a, 25, 2) }, false},
+		{"the one before withdrawn, list, no news", func(a *Agent) { withdrawn(a, 3, 2); listed(a, 6, "x", 3, Running) }, nil, false},
+		{"the one before withdrawn, list, then news", func(a *Agent) { withdrawn(a, 3, 2); listed(a, 6, "x", 3, Running) },
+			func(a *Agent) { trial(a, 25, 3) }, false},
+		{"the one before going back is told on", func(a *Agent) { withdrawn(a, 3, 2); listed(a, 6, "x", 3, Running) },
+			func(a *Agent) { a.News(25, 2, 0, GoingBack, Unasked, 0, 0, true) }, false},
+		{"two unannounced", func(a *Agent) { listed(a, 6, "x", 2, Running) }, func(a *Agent) { trial(a, 25, 3) }, false},
+		{"released, and an earlier one's fresh backend before the word", func(a *Agent) { trial(a, 5, 2); listed(a, 6, "x", 2, Running) },
+			func(a *Agent) {
+				a.News(25, 2, 1, Released, Unasked, 1, 0, true)
+				a.List(26, []Listed{{ID: "x", Build: 2, Rating: 1}}, true, false) // nothing earlier is listed
+				a.Wake(26+2*judgePause, 0)
+			}, false},
+		{"goes back, told after the list", func(a *Agent) { trial(a, 5, 2); listed(a, 6, "x", 2, Running) },
+			func(a *Agent) { a.News(25, 2, 0, GoingBack, Unasked, 0, 0, true) }, true},
+		{"goes back, and an answer on its trial comes late", func(a *Agent) { trial(a, 5, 2); listed(a, 6, "x", 2, Running) },
+			func(a *Agent) {
+				a.News(25, 2, 0, GoingBack, Unasked, 0, 0, true)
+				a.News(26, 2, 0, OnTrial, Counted, 1, 0, true)
+			}, true},
+		{"the later of two goes back", func(a *Agent) {
+			trial(a, 3, 2)
+			a.News(4, 2, 1, Released, Unasked, 1, 0, true)
+			listed(a, 6, "x", 2, Running)
+		}, func(a *Agent) {
+			trial(a, 25, 3)
+			a.List(26, []Listed{{ID: "x", Build: 2, State: Draining}, {ID: "y", Build: 3, Rating: 1}}, false, false)
+			a.Txn(30, "t2", "k", 0, 0, false, 4000, 0)
+			a.Outcome(31, "t2", 0, Settled, true, 1, -1, -1)
+			a.News(32, 3, 0, GoingBack, Unasked, 0, 0, true)
+		}, false},
+	} {
+		a, r := keyed(1, 1)
+		listed(a, 2, "a", 1, Draining)
+		c.before(a)
+		now := 10.0
+		// The first of a process's attempts at a release on trial needs no more than the free ones.
+		a.Txn(now, "t", "k", 0, 0, false, 4000, 0)
+		if got := where(r.take()); got != "x" {
+			t.Fatalf("%s: first %q", c.name, got)
+		}
+		a.Outcome(now+5, "t", 0, Settled, true, 5, -1, -1)
+		if c.after != nil {
+			c.after(a)
+		}
+		now = 1000
+		a.List(now, []Listed{{ID: "a", Build: 1, Rating: 1, Start: 0}, {ID: "x", Build: 2, State: Gone}, {ID: "y", Build: 3, State: Gone}}, false, false)
+		r.take()
+		a.Txn(now+1, "u", "k", 0, 0, false, 4000, 0)
+		if got := where(r.take()); (got == "a") != c.open {
+			t.Errorf("%s: the key goes to %q, open %v", c.name, got, c.open)
+		}
+	}
+}
+
+// An id that returns with another release while its answer is out: either may have given it.
+func TestAnswerAcrossReleases(t *testing.T) {
+	a, r := keyed(2, 1)
+	a.List(3, []Listed{{ID: "b", State: Gone}}, false, false)
+	a.Txn(10, "t", "k", 0, 0, false, 4000, 0)
+	expect(t, "first", where(r.take()), "a")
+	a.List(12, []Listed{{ID: "a", Build: 2, Rating: 1}, {ID: "b", Build: 1, Rating: 1}}, false, false)
+	a.Outcome(15, "t", 0, Settled, true, 5, -1, -1)
+	a.Txn(20, "u", "k", 0, 0, false, 4000, 0)
+	expect(t, "again", where(r.take()), "a")
+}
+
+// Whether an attempt may still go out when its connection is up, after what came meanwhile.
+func TestSendable(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		mean  func(a *Agent)
+		want  bool
+		trial bool // the attempt is at the release on trial
+	}{
+		{"nothing", func(a *Agent) {}, true, false},
+		{"its backend drains", func(a *Agent) { a.List(11, []Listed{{ID: "a", Build: 1, Rating: 1, State: Draining}}, false, false) }, false, false},
+		{"its backend has another release", func(a *Agent) { a.List(11, []Listed{{ID: "a", Build: 2, Rating: 1}}, false, false) }, false, false},
+		{"a later release answers the key", func(a *Agent) {
+			a.List(11, []Listed{{ID: "a", Build: 1, Rating: 1, State: Draining}, {ID: "x", Build: 2, Rating: 1}}, false, false)
+			a.Txn(12, "other", "k", 0, 0, false, 4000, 0)
+			a.Outcome(13, "other", 0, Settled, true, 1, -1, -1)
+			a.List(14, []Listed{{ID: "a", Build: 1, Rating: 1}}, false, false)
+		}, false, false},
+		{"an attempt at a later release is out", func(a *Agent) {
+			a.List(11, []Listed{{ID: "a", Build: 1, Rating: 1, State: Draining}, {ID: "x", Build: 2, Rating: 1}}, false, false)
+			a.Txn(12, "other", "k", 0, 0, false, 4000, 0)
+			a.List(14, []Listed{{ID: "a", Build: 1, Rating: 1}}, false, false)
+		}, false, false},
+		{"on trial, nothing", func(a *Agent) {}, true, true},
+		{"its release goes back", func(a *Agent) { a.News(11, 2, 0, GoingBack, Unasked, 0, 0, true) }, false, true},
+	} {
+		a, r := keyed(1, 1)
+		want := "a"
+		if c.trial {
+			want = "x"
+			a.News(3, 2, 0, OnTrial, Unasked, 1, 0, true)
+			a.List(4, []Listed{{ID: "a", Build: 1, Rating: 1, State: Draining}, {ID: "x", Build: 2, Rating: 1}}, false, false)
+		}
+		a.Txn(10, "t", "k", 0, 0, false, 4000, 0)
+		if got := where(r.take()); got != want {
+			t.Fatalf("%s: first %q", c.name, got)
+		}
+		c.mean(a)
+		expect(t, c.name, a.Sendable("t", 0), c.want)
+	}
+}
+
+// The keys of a trial are the same ones before its news, after it and in the process that follows, and others for another agent.
+func TestTrialKeys(t *testing.T) {
+	drawn := func(seed uint64, me int, told bool) (set string) {
+		a := New(&record{}, seed, me, 2)
+		a.Serve([]Product{{SLA: 1000, Expiry: 4000, Revenue: 1}}, 5, true, true)
+		a.Expose(2, []float64{0.5, 1}, 0, false, true)
+		a.News(1, 2, 0, Withdrawn, Unasked, 0, 0, true)
+		a.List(2, []Listed{{ID: "a", Build: 1, Rating: 1}, {ID: "x", Build: 3, Rating: 1}}, true, false)
+		if told {
+			a.News(3, 3, 0, OnTrial, Unasked, 0.5, 0, true)
+		}
+		for k := range 64 {
+			x := &txn{key: fmt.Sprint(k), affinity: 1}
+			set += fmt.Sprint(index(a.draw(x) < 0.5))
+		}
+		return set
+	}
+	early := drawn(7, 0, false)
+	expect(t, "after the news", drawn(7, 0, true), early)
+	expect(t, "in the next process", drawn(8, 0, true), early)
+	expect(t, "another agent's are others", drawn(7, 1, true) != early, true)
+}
+
+// What a release does is evidence on itself alone: one whose news is to come or that has been taken off counts for no other.
+func TestEvidenceByRelease(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		news       func(a *Agent)
+		release    int
+		old, newer int // outcomes on record
+	}{
+		{"the newest", func(a *Agent) { a.News(5, 2, 0, OnTrial, Unasked, 0.5, 0, true) }, 2, 0, 1},
+		{"the one before", func(a *Agent) { a.News(5, 2, 0, OnTrial, Unasked, 0.5, 0, true) }, 1, 1, 0},
+		{"its news is to come", func(a *Agent) {}, 2, 0, 0},
+		{"it was withdrawn, and the next one came", func(a *Agent) {
+			a.News(5, 2, 0, Withdrawn, Unasked, 0, 0, true)
+			a.News(6, 3, 0, OnTrial, Unasked, 0.5, 0, true)
+		}, 2, 0, 0},
+	} {
+		a, _ := keyed(1, 0.5)
+		c.news(a)
+		a.file(c.release, 0, outcome{at: 10, lat: 5})
+		expect(t, c.name, []int{len(a.evidence[0][0]), len(a.evidence[1][0])}, []int{c.old, c.newer})
+	}
+}
+
+// An answer to a vote on the release before is no vote on the one that has come meanwhile.
+func TestVoteOnReleaseBefore(t *testing.T) {
+	a, r := keyed(1, 0.5)
+	a.News(5, 2, 0, OnTrial, Unasked, 0.5, 0, true)
+	a.want = On
+	a.Wake(6, 0)
+	if did := fmt.Sprint(r.take()); !strings.Contains(did, "vote 2") {
+		t.Fatalf("no vote: %s", did)
+	}
+	a.News(7, 3, 0, OnTrial, Unasked, 0.5, 0, true)
+	a.News(8, 2, 0, OnTrial, Counted, 0.5, 0, true)
+	expect(t, "stands for release 3", a.stands, None)
+	expect(t, "newest", a.newest, 3)
+	a.want = On
+	a.Wake(9, 0)
+	if did := fmt.Sprint(r.take()); !strings.Contains(did, "vote 3") {
+		t.Errorf("no vote on release 3: %s", did)
+	}
+}
+
+// exposureRule is the rule on exposure as the pages give it, counted from events and actions alone.
+type exposureRule struct {
+	phase    map[int]Phase // as told, the furthest
+	limit    map[int]float64
+	newest   int
+	answered map[string][]int // releases by key
+	taken    int
+	sent     map[int]int // at a release under a cap, since its cap last fell
+	from     map[int]int // and the requests taken by then
+}
+
+// capped: by the wire's page the newest announced release is on trial until it is released, and so are later ones, in their first
+// stage. Beyond the page, one that was told to go back is closed for good.
+func (x *exposureRule) capped(release int) (limit float64, capped bool) {
+	phase, told := x.phase[release]
+	switch {
+	case told && (phase == GoingBack || phase == Withdrawn):
+		return 0, true
+	case release < x.newest || told && phase == Released:
+		return 1, false
+	case told:
+		return x.limit[release], true
+	}
+	return 0.5, true
+}
+
+// Random orders of lists, news, votes' answers, requests and ends keep the rule on exposure, by a reference of its own.
+func TestExposureAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, r := keyed(0, 0.5)
+		rule := &exposureRule{phase: map[int]Phase{1: Released}, limit: map[int]float64{}, newest: 1, answered: map[string][]int{},
+			sent: map[int]int{}, from: map[int]int{}}
+		runs, at, out := map[string]int{}, map[string][2]string{}, []string{}
+		now, ids := 10.0, 0
+		attempts := func() {
+			for did := r.take(); len(did) > 0; did = r.take() {
+				for _, line := range did {
+					var what, id, backend string
+					if fmt.Sscan(line, &what, &id, &backend); what != "submit" {
+						continue
+					}
+					release, key := runs[backend], at[id][0]
+					for _, by := range rule.answered[key] {
+						if release < by {
+							t.Fatalf("key %s goes to release %d, answered by %d", key, release, by)
+						}
+					}
+					if limit, capped := rule.capped(release); capped {
+						rule.sent[release]++
+						if most := 2 + limit*float64(rule.taken-rule.from[release]); float64(rule.sent[release]) > most || limit == 0 {
+							t.Fatalf("release %d: attempt %d of %v, cap %v", release, rule.sent[release], most, limit)
+						}
+					}
+					at[id] = [2]string{key, backend}
+					out = append(out, id)
+				}
+			}
+		}
+		tell := func(release int, phase Phase, stage int, limit float64, reply Reply) {
+			was, told := rule.phase[release]
+			rank := map[Phase]int{OnTrial: 0, Released: 1, GoingBack: 2, Withdrawn: 3}
+			if !told || rank[phase] >= rank[was] {
+				if limitWas, capped := rule.capped(release); !told || !capped || limit < limitWas || phase != was {
+					// Since when attempts are counted anew, and never more than was told.
+					rule.sent[release], rule.from[release] = 0, rule.taken
+				}
+				if told && phase == was {
+					limit = min(limit, rule.limit[release])
+				}
+				rule.phase[release], rule.limit[release] = phase, limit
+			}
+			if rule.phase[release] == GoingBack || rule.phase[release] == Withdrawn {
+				for key, by := range rule.answered {
+					kept := []int(nil)
+					for _, one := range by {
+						if one != release {
+							kept = append(kept, one)
+						}
+					}
+					rule.answered[key] = kept
+				}
+			}
+			rule.newest = max(rule.newest, release)
+			a.News(now, release, stage, phase, reply, limit, 0, true)
+		}
+		for range rapid.IntRange(20, 120).Draw(t, "events") {
+			now += float64(rapid.IntRange(1, 300).Draw(t, "after"))
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1: // a backend is listed, drains, goes or comes back with another release
+				id := string(rune('a' + rapid.IntRange(0, 4).Draw(t, "backend")))
+				release := rapid.IntRange(1, 4).Draw(t, "release")
+				state := State(rapid.IntRange(0, 5).Draw(t, "state") % 4 % 3)
+				if state != Gone {
+					runs[id] = release
+				}
+				a.List(now, []Listed{{ID: id, Build: release, State: state, Rating: 1}}, false, false)
+			case 2: // the platform tells a state, in any order
+				release := rapid.IntRange(1, 4).Draw(t, "release")
+				phase := Phase(rapid.IntRange(0, 3).Draw(t, "phase"))
+				limit := [...]float64{OnTrial: 0.5, GoingBack: 0, Released: 1, Withdrawn: 0}[phase]
+				tell(release, phase, 0, limit, Reply(rapid.IntRange(0, 1).Draw(t, "reply")))
+			case 3, 4, 5, 6: // a request
+				ids++
+				id, key := fmt.Sprint(ids), fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
+				at[id] = [2]string{key}
+				rule.taken++
+				a.Txn(now, id, key, 0, 0, false, 2000, 0)
+			case 7, 8: // an attempt ends
+				if len(out) > 0 {
+					k := rapid.IntRange(0, len(out)-1).Draw(t, "which")
+					id := out[k]
+					out = append(out[:k], out[k+1:]...)
+					result := []Result{Settled, Settled, Settled, Errored, Rejected, Broken}[rapid.IntRange(0, 5).Draw(t, "result")]
+					x := a.txns[id]
+					if x == nil {
+						continue
+					}
+					sub := len(x.subs) - 1
+					for sub > 0 && !x.subs[sub].out {
+						sub--
+					}
+					release := x.subs[sub].build
+					if phase, told := rule.phase[release]; result == Settled && !(told && (phase == GoingBack || phase == Withdrawn)) {
+						rule.answered[at[id][0]] = append(rule.answered[at[id][0]], release)
+					}
+					a.Outcome(now, id, sub, result, result == Settled, 10, -1, -1)
+				}
+			case 9:
+				a.Wake(now, a.token)
+			}
+			attempts()
+		}
+	})
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,11 +1,13 @@
 package policy
 
 import (
-	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"onyxgate/policy/exposure"
+	"onyxgate/policy/release"
 )
 
 // submission is one try of a txn at an appliance.
@@ -20,6 +22,7 @@
 
 type txn struct {
 	id, key   string
+	affinity  exposure.Key // 0: any release may serve it
 	product   int
 	came, sla float64
 	expiry    float64
@@ -76,20 +79,17 @@
 	recent                      [][]float64
 	goodAll, poorAll, notedAt   float64 // the record of all
 	openAll                     int
-	oldest                      int // build of any listed appliance
 	goneAt                      []float64
 	members                     [2][]int // running appliances, of earlier builds and on trial
 	bear                        [2]float64
 	limitAll, warm, heaviest    float64
 	trialCap, surveyAt          float64
+	trialRelease                int // the newest running release under a cap; 0: none
 	asked, subscribed           bool
 	failures                    float64 // of list calls in a row
 	grace, within, askAt        float64
 }
 
-// owed is a build at which submissions for a key are out: their answers may tie it before they are seen.
-type owed struct{ build, out int }
-
 // trial is what is known of the newest build.
 type trial struct {
 	newest, stage int
@@ -113,9 +113,10 @@
 		usual           []float64 // latency by product
 		demand, typical float64
 	}
-	pending     bool
-	asking      Verdict
-	askingStage int
+	pending       bool
+	asking        Verdict
+	askingStage   int
+	askingRelease int
 }
 
 // Agent is one instance of the decisions.
@@ -138,14 +139,14 @@
 	zonePriced     bool
 
 	coldFrom, warmTime, multiple, fall float64
-	free                               float64
-	caps                               []float64
 	guarded                            int
 	perProduct, keysStay               bool
-	allow                              map[int][]float64 // by build: what may still go, by product
-	cap                                float64
-	ties                               map[string]int
-	owing                              map[string]owed
+	book                               *release.Book
+	allowance                          *exposure.Allowance
+	affinity                           *exposure.Affinity
+	withheld                           Withheld
+	window                             float64 // over which attempts are counted
+	started                            bool    // an event has come
 	sightings                          map[string]float64
 	taken                              float64
 
@@ -187,9 +188,10 @@
 func New(port Port, seed uint64, me, agents int) *Agent {
 	a := &Agent{port: port, rnd: Chance(seed), agents: max(agents, 1), txns: map[string]*txn{}}
 	a.most, a.armed, a.recallAt, a.flow = math.Inf(1), math.Inf(1), math.Inf(1), [2]float64{1, 1}
-	a.salt = a.rnd.Uint64()
-	a.allow, a.ties, a.sightings = map[int][]float64{}, map[string]int{}, map[string]float64{}
-	a.owing = map[string]owed{}
+	a.salt = uint64(me+1) << 32 // not by the seed: a process that starts anew draws the same keys for a trial
+	a.sightings = map[string]float64{}
+	a.book, a.affinity = release.NewBook(0), exposure.NewAffinity()
+	a.allowance = exposure.NewAllowance(0, 1)
 	a.index, a.hashes, a.me = map[string]int{}, map[uint32]int{}, me
 	a.judgeAt = math.Inf(1)
 	return a
@@ -229,10 +231,20 @@
 	a.coldFrom, a.warmTime, a.multiple, a.fall = from, time, multiple, fall
 }
 
+// Expose: within any window the free attempts and the cap's share may go to a release on trial. Serve comes before it.
 func (a *Agent) Expose(free float64, caps []float64, guarded int, perProduct, keysStay bool) {
-	a.free, a.caps, a.guarded, a.perProduct, a.keysStay = free, caps, guarded, perProduct, keysStay
+	a.guarded, a.perProduct, a.keysStay = guarded, perProduct, keysStay
+	first := 0.0
+	if len(caps) > 0 {
+		first = caps[0]
+	}
+	a.book = release.NewBook(first)
+	a.allowance = exposure.NewAllowance(free, len(a.products))
 }
 
+// CountOver: attempts at a release on trial are counted within so long (ms).
+func (a *Agent) CountOver(window float64) { a.window = window }
+
 // Judge: backs is how many agents undo a build.
 func (a *Agent) Judge(stages []float64, control Control, backs int, life float64) {
 	a.stages, a.control, a.backs, a.life = stages, control, max(backs, 1), life
@@ -282,18 +294,17 @@
 func (a *Agent) survey() {
 	a.surveyAt = a.now + judgePause
 	a.members[0], a.members[1] = a.members[0][:0], a.members[1][:0]
-	a.bear, a.limitAll, a.warm, a.heaviest, a.trialCap = [2]float64{}, 0, 0, 0, 0
-	oldest := math.MaxInt
+	a.bear, a.limitAll, a.warm, a.heaviest, a.trialCap, a.trialRelease = [2]float64{}, 0, 0, 0, 0, 0
+	a.concluded()
 	for i := range a.id {
-		if a.state[i] != Gone {
-			oldest = min(oldest, a.builds[i])
-		}
 		if a.state[i] != Running {
 			continue
 		}
 		arm, w := 0, a.rating[i]*a.coldness(i)
-		if l, on := a.capOf(a.builds[i]); on {
-			arm, a.trialCap = 1, max(a.trialCap, l)
+		if limit, limited := a.book.Cap(a.builds[i]); limited && limit <= 0 {
+			continue // nothing may go there
+		} else if limited {
+			arm, a.trialCap, a.trialRelease = 1, max(a.trialCap, limit), max(a.trialRelease, a.builds[i])
 		}
 		a.members[arm] = append(a.members[arm], i)
 		a.bear[arm] += w
@@ -303,20 +314,6 @@
 			a.warm += a.rating[i]
 		}
 	}
-	if oldest == a.oldest || oldest == math.MaxInt {
-		return
-	}
-	a.oldest = oldest
-	for k, b := range a.ties { // nothing earlier is left to keep the key from
-		if b <= a.oldest {
-			delete(a.ties, k)
-		}
-	}
-	for b := range a.allow {
-		if b < a.oldest && b < a.newest {
-			delete(a.allow, b)
-		}
-	}
 }
 
 // at sets the time of an input and sees whether the agent stood still before it: its own timers tell.
@@ -325,24 +322,24 @@
 		a.wokeAt = now
 	}
 	a.now = now
+	if !a.started {
+		a.started = true
+		a.allowance.Hold(now + a.window)
+	}
 }
 
 // send submits; the caller has asked mayGo.
 func (a *Agent) send(t *txn, i int) {
-	if _, on := a.capOf(a.builds[i]); on {
-		a.bucket(a.builds[i])[a.lane(t.product)]--
+	if a.limited(a.builds[i]) {
+		a.allowance.Use(a.builds[i], a.lane(t.product), a.now)
 	}
 	if a.coldness(i) < 1 {
 		a.level[i] -= t.work
 	}
 	t.subs = append(t.subs, submission{app: i, build: a.builds[i], at: a.now, due: a.due(t), out: true})
 	t.out++
-	if o := a.owing[t.key]; a.binds(t, a.builds[i]) && a.builds[i] >= o.build {
-		if a.builds[i] > o.build {
-			o = owed{build: a.builds[i]}
-		}
-		o.out++
-		a.owing[t.key] = o
+	if !a.book.Closed(a.builds[i]) {
+		a.affinity.Sent(t.affinity, a.builds[i])
 	}
 	a.open[i]++
 	a.openAll++
@@ -391,8 +388,8 @@
 				a.level[i] = a.rnd.Float64()
 			}
 		}
-		if a.known && e.Build > a.newest && a.builds[i] != e.Build {
-			a.port.Log(fmt.Sprintf("release %d: listed before any news of it, the newest announced is %d", e.Build, a.newest))
+		if e.State != Gone {
+			a.releaseListed(e.Build)
 		}
 		a.builds[i], a.zones[i], a.kinds[i], a.cells[i] = e.Build, e.Zone, e.Kind, e.Cell
 		a.state[i], a.rating[i], a.start[i], a.goneAt[i] = e.State, max(e.Rating, 0.01), e.Start, now
@@ -436,27 +433,6 @@
 	return 0
 }
 
-func (a *Agent) bucket(build int) []float64 {
-	b := a.allow[build]
-	if b == nil {
-		b = make([]float64, max(len(a.products), 1))
-		for k := range b {
-			b[k] = a.free
-		}
-		a.allow[build] = b
-	}
-	return b
-}
-
-// fill adds a taken txn's part to what may still go; each build by itself, so the order does not matter.
-func (a *Agent) fill(lane int) {
-	for build, b := range a.allow {
-		if limit, on := a.capOf(build); on {
-			b[lane] = min(b[lane]+limit, a.free)
-		}
-	}
-}
-
 // ListFailed tells that a list call failed or the subscription broke.
 func (a *Agent) ListFailed(now float64) {
 	a.at(now)
@@ -579,7 +555,7 @@
 // offered turns the page: what a released build has shown becomes the earlier build's record.
 func (a *Agent) offered(build int) {
 	was := [2][][]outcome{slices.Clone(a.evidence[0]), slices.Clone(a.evidence[1])}
-	if a.known && a.phase == Released {
+	if a.known && a.book.Of(a.newest).Phase == Released {
 		a.evidence[0], a.evidence[1] = a.evidence[1], a.evidence[0]
 	}
 	for p := range a.evidence[1] {
@@ -698,6 +674,9 @@
 func (a *Agent) Txn(now float64, id, key string, product, tenant int, again bool, left, hint float64) {
 	a.at(now)
 	t := &txn{id: id, key: key, product: product, tenant: tenant, came: now, expiry: now + left, work: 1, cost: 1}
+	if a.keysStay {
+		t.affinity = exposure.KeyOf(key)
+	}
 	if hint > 0 {
 		if a.workMean == 0 {
 			a.workMean = hint
@@ -736,13 +715,7 @@
 		s.out, s.unrun = false, r == Rejected || r == Unconnected || r == Moot
 		t.out--
 		t.ended = t.ended || final
-		if o, ok := a.owing[t.key]; ok && o.build == s.build {
-			if o.out--; o.out > 0 {
-				a.owing[t.key] = o
-			} else {
-				delete(a.owing, t.key)
-			}
-		}
+		a.affinity.Ended(t.affinity, s.build)
 		a.open[s.app]--
 		a.openAll--
 		a.recallAt = now
@@ -762,30 +735,7 @@
 		a.answered(reply)
 	}
 	if reply == Unasked || told {
-		if !a.known || build != a.newest {
-			a.offered(build)
-		}
-		if !a.known || build != a.newest || stage != a.stage || phase != a.phase {
-			a.port.Log(fmt.Sprintf("release %d: stage %d, phase %s, cap %.2f, by %s", build, stage, phase, limit, reply))
-		}
-		if stage != a.stage || phase != a.phase {
-			a.phaseAt = now - age
-			a.voteAt = 0
-			a.begun, a.want = false, None // what was seen of one stage carries no vote on the next
-		}
-		if phase == GoingBack || phase == Withdrawn {
-			for k, b := range a.ties {
-				if b == build {
-					delete(a.ties, k)
-				}
-			}
-			for k, o := range a.owing {
-				if o.build == build {
-					delete(a.owing, k)
-				}
-			}
-		}
-		a.known, a.newest, a.stage, a.phase, a.cap, a.surveyAt = true, build, stage, phase, limit, now
+		a.releaseTold(release.Update{Release: build, Stage: stage, Phase: phase, Cap: limit}, age, reply)
 	}
 	a.settle()
 }
