Counts and metrics of releases; an attempt kept back as it is sent is tested on sockets

Change: a log line 'releases' beside 'counts' (newest release, phase, stage, cap, release on trial, keys remembered, backends passed over by reason), the same as metrics, and attempts withdrawn as they were to be sent. TestUpTooLate gets the case of a release that goes back while a connection to its backend comes up.

--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -337,7 +337,11 @@
 		"voided": n.Voided, "gone": n.Gone, "bad_input": a.front.Refused.Load(), "open": n.Open, "out": n.Out,
 		"ends":    fmt.Sprint(n.Ends[policy.Settled:]),
 		"sockets": all, "clients": clients, "clients_idle": resting, "opened": opened, "idle": idle, "unsent": unsent,
-		"list": version, "listed": listed, "timers": n.Timers, "broken": must.Broken()}).Info("counts")
+		"list": version, "listed": listed, "timers": n.Timers, "broken": must.Broken(), "withdrawn": n.Withdrawn}).Info("counts")
+	r := n.Releases
+	logrus.WithFields(logrus.Fields{"newest": r.Newest.Release, "phase": r.Newest.Phase.String(), "stage": r.Newest.Stage,
+		"cap": r.Newest.Cap, "trial": r.Trial, "keys": r.Keys, "withheld_closed": r.Withheld.Closed,
+		"withheld_cap": r.Withheld.Cap, "withheld_affinity": r.Withheld.Affinity}).Info("releases")
 	if a.sources != nil {
 		n := a.sources.Counts()
 		logrus.WithFields(logrus.Fields{"lookups": n.Lookups, "questions": n.Questions, "failures": n.Failures,
@@ -380,6 +384,18 @@
 	count(`onyxgate_sources_doubted{source="srv"}`, doubt(1))
 }
 
+// measureReleases names what can be scraped of the rule on exposure.
+func (a *Agent) measureReleases(count func(name string, of func(core.Counts) int)) {
+	count("onyxgate_release_newest", func(n core.Counts) int { return n.Releases.Newest.Release })
+	count("onyxgate_release_stage", func(n core.Counts) int { return n.Releases.Newest.Stage })
+	count("onyxgate_release_on_trial", func(n core.Counts) int { return n.Releases.Trial })
+	count("onyxgate_affinity_keys", func(n core.Counts) int { return n.Releases.Keys })
+	count(`onyxgate_backends_withheld_total{reason="closed"}`, func(n core.Counts) int { return n.Releases.Withheld.Closed })
+	count(`onyxgate_backends_withheld_total{reason="cap"}`, func(n core.Counts) int { return n.Releases.Withheld.Cap })
+	count(`onyxgate_backends_withheld_total{reason="affinity"}`, func(n core.Counts) int { return n.Releases.Withheld.Affinity })
+	count("onyxgate_attempts_withdrawn_total", func(n core.Counts) int { return n.Withdrawn })
+}
+
 // measure names what can be scraped.
 func (a *Agent) measure() {
 	a.meter = metering.New()
@@ -394,6 +410,7 @@
 	count("onyxgate_txns_open", func(n core.Counts) int { return n.Open })
 	count("onyxgate_submissions_out", func(n core.Counts) int { return n.Out })
 	a.meter.Gauge("onyxgate_broken_total", func() float64 { return float64(must.Broken()) })
+	a.measureReleases(count)
 	if a.sources != nil {
 		a.seen()
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,6 +55,7 @@
 	Ends                                   [policy.Moot + 1]int // attempts, by result
 	Open, Out, Timers                      int
 	Withdrawn                              int // attempts that might not go out any more when their connection was up
+	Releases                               policy.ReleaseStatus
 }
 
 // New starts the clock; no event may come before Start.
@@ -85,6 +86,9 @@
 	defer c.mu.Unlock()
 	n := c.counts
 	n.Open, n.Timers = len(c.requests), len(c.timers)
+	if c.agent != nil {
+		n.Releases = c.agent.Releases()
+	}
 	return n
 }
 
--- a/internal/httpwire/crossings_test.go
+++ b/internal/httpwire/crossings_test.go
@@ -228,14 +228,19 @@
 		name    string
 		revokes bool
 		leaves  bool
-	}{{"the address is left", true, false}, {"the client goes", true, true}, {"the client goes, no calling off", false, true}} {
+		back    bool // its release goes back
+	}{{"the address is left", true, false, false}, {"the client goes", true, true, false},
+		{"the client goes, no calling off", false, true, false}, {"its release goes back", true, false, true}} {
 		t.Run(c.name, func(t *testing.T) {
 			s, asked, up := newAppliance(t), make(chan bool), make(chan bool)
 			l := newLoop(t, s.at(), barred(asked, up), c.revokes)
+			l.core.News(1, 0, policy.OnTrial, policy.Unasked, 1, 0, true)
 			client := l.client()
 			io.WriteString(client, get("r1"))
 			<-asked
-			if c.leaves {
+			if c.back {
+				l.core.News(1, 0, policy.GoingBack, policy.Unasked, 0, 0, true)
+			} else if c.leaves {
 				client.Close()
 				until(func() bool { return l.core.Counts().Gone == 1 })
 			} else {
@@ -261,6 +266,9 @@
 			if n := l.core.Counts().Ends; n[policy.Moot] != 1 {
 				t.Errorf("told as %v, never sent wanted", n)
 			}
+			if n := l.core.Counts().Withdrawn; (n == 1) != c.back {
+				t.Errorf("%d attempts asked for again and kept back", n)
+			}
 		})
 	}
 }
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -63,6 +63,7 @@
 	a.core.Start(func(port policy.Port) *policy.Agent {
 		m := policy.New(port, 7, 0, 1)
 		m.Serve(products, 1, false, true)
+		m.Expose(2, []float64{1}, 0, false, false)
 		return m
 	})
 	a.disc = NewDiscovery(a.core, n.dial, "list", []string{"z"}, []string{"k"}, false, 1)
