Slow start goes by when a backend was listed, leaving by monotonic time: clocks may be stepped

Ruled out: a step moves no other span, by that test's list of every reading of the wall clock as a number. A start in the future no longer holds a stage's votes. Front keeps spans since its own start. Relied on: at a process's start the clock is right against the starts in its first list.

--- /dev/null
+++ b/internal/ci/clock_test.go
@@ -0,0 +1,66 @@
+package ci
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// wallClock finds readings of the wall clock as a number, from which no span may be made: it can be stepped.
+var wallClock = regexp.MustCompile(`\.Unix(Nano|Milli|Micro)?\(\)|time\.Unix(Milli|Micro)?\(`)
+
+// wallClockUses are the lines that may read it, and why.
+var wallClockUses = map[string]string{
+	"internal/core/core.go: fromMs: float64(now.UnixNano())":       "the epoch of Core.Now, which then runs on by the monotonic clock",
+	"internal/httpwire/upstream.go: SetDeadline(time.Unix(1, 0))":  "a deadline long past, by any clock",
+	"internal/httpwire/front.go: SetReadDeadline(time.Unix(1, 0))": "the same",
+	"internal/httpwire/discovery.go: SetDeadline(time.Unix(1, 0))": "the same",
+	"internal/sources/dns/dns.go: SetDeadline(time.Unix(1, 0))":    "the same",
+	"internal/record/sqlstore/sqlstore.go: time.Now().UnixMilli()": "a time that is stored for people",
+	"internal/record/keeper/ship.go: uint64(from.UnixNano())":      "a seed",
+	"cmd/onyxgate/record.go: UnixMilli":                            "times that operators give and read",
+	"cmd/onyxgate/record.go: t.UnixNano()":                         "the same",
+	"cmd/onyxgate/sources.go: Unix":                                "a time that operators read, and a seed",
+}
+
+// Spans are of monotonic time: no program code takes the wall clock as a number but where it is an epoch, a seed or for people.
+func TestNoSpansOfWallTime(t *testing.T) {
+	used := map[string]bool{}
+	for _, root := range []string{"policy", "internal", "cmd/onyxgate"} {
+		err := filepath.WalkDir(filepath.Join("../..", root), func(path string, entry fs.DirEntry, err error) error {
+			name, _ := filepath.Rel("../..", path)
+			if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") ||
+				strings.HasPrefix(name, "internal/standin/") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for n, line := range strings.Split(string(text), "\n") {
+				if !wallClock.MatchString(line) {
+					continue
+				}
+				allowed := false
+				for use := range wallClockUses {
+					file, part, _ := strings.Cut(use, ": ")
+					if file == name && strings.Contains(line, part) {
+						allowed, used[use] = true, true
+					}
+				}
+				if !allowed {
+					t.Errorf("%s:%d reads the wall clock: %s", name, n+1, strings.TrimSpace(line))
+				}
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for use := range wallClockUses {
+		if !used[use] {
+			t.Errorf("no longer there: %s", use)
+		}
+	}
+}
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -63,14 +63,15 @@
 	leaving  atomic.Bool
 	closing  atomic.Bool
 	active   atomic.Int64
-	lastAt   atomic.Int64 // when a request last began or ended
+	born     time.Time
+	lastAt   atomic.Int64 // when a request last began or ended, as a span since born: the wall clock may be stepped
 	Refused  atomic.Int64 // bad input, by whatever status
 }
 
 // NewFront makes one for the products by name; bodies held at once may add up to room bytes.
 func NewFront(c *core.Core, up *Upstream, sockets *Sockets, names []string, products []policy.Product, revokes bool,
 	open int, room int64) *Front {
-	f := &Front{core: c, up: up, sockets: sockets, products: map[string]int{}, revokes: revokes, open: open,
+	f := &Front{born: time.Now(), core: c, up: up, sockets: sockets, products: map[string]int{}, revokes: revokes, open: open,
 		room: room}
 	longest := 0.0
 	for i, name := range names {
@@ -138,9 +139,9 @@
 // request is the life of one request, which began to come at came, to its one answer.
 func (f *Front) request(w http.ResponseWriter, r *http.Request, path string, came float64) {
 	f.active.Add(1)
-	f.lastAt.Store(time.Now().UnixNano())
+	f.lastAt.Store(int64(time.Since(f.born)))
 	defer func() {
-		f.lastAt.Store(time.Now().UnixNano())
+		f.lastAt.Store(int64(time.Since(f.born)))
 		f.active.Add(-1)
 	}()
 
@@ -374,7 +375,7 @@
 			f.sockets.CloseIdle()
 		}
 		_, clients, _ := f.sockets.Used()
-		quiet := f.closing.Load() && time.Since(time.Unix(0, f.lastAt.Load())) > leaveRest
+		quiet := f.closing.Load() && time.Since(f.born)-time.Duration(f.lastAt.Load()) > leaveRest
 		if f.active.Load() == 0 && (clients == 0 || quiet) {
 			break
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,6 +69,8 @@
 	builds, zones, kinds, cells []int
 	state                       []State
 	rating, start               []float64
+	up                          []float64 // since when, at the latest, it has been up; 0: long ago
+	listed                      bool      // a list other than the one that the process started with has come
 	open                        []int
 	limit                       []float64 // own open submissions that it may have
 	good, poor, seenAt          []float64 // fading record of answers within the SLA time and others
@@ -269,7 +271,7 @@
 	for i := range a.id {
 		if a.state[i] == Running && a.builds[i] == a.newest {
 			n++
-			a.lastStart = max(a.lastStart, a.start[i])
+			a.lastStart = max(a.lastStart, min(a.start[i], a.up[i]))
 		}
 	}
 	return n
@@ -384,6 +386,7 @@
 			// A re-used id or a restart: nothing learned of the former process holds, and it is cold.
 			a.good[i], a.poor[i], a.rel[i], a.recent[i], a.level[i], a.levelAt[i] = 0, 0, 1, nil, 0, now
 			a.inRow[i], a.restUntil[i], a.told[i], a.toldAt[i], a.limit[i] = 0, 0, 0, now, limitFirst
+			a.up[i] = a.upSince(e.Start)
 			if a.agents >= manyAgents && e.Start > 0 { // by chance, or all would start at once, and none soon
 				a.level[i] = a.rnd.Float64()
 			}
@@ -395,7 +398,7 @@
 		a.state[i], a.rating[i], a.start[i], a.goneAt[i] = e.State, max(e.Rating, 0.01), e.Start, now
 	}
 	if !old {
-		a.failures = 0
+		a.failures, a.listed = 0, true
 	}
 	a.surveyAt = now
 	a.settle()
@@ -419,7 +422,7 @@
 		*x = append(*x, 0)
 	}
 	for _, x := range []*[]float64{&a.rating, &a.start, &a.good, &a.poor, &a.seenAt, &a.rel, &a.level, &a.levelAt, &a.limit,
-		&a.told, &a.toldAt, &a.inRow, &a.restUntil, &a.goneAt} {
+		&a.up, &a.told, &a.toldAt, &a.inRow, &a.restUntil, &a.goneAt} {
 		*x = append(*x, 0)
 	}
 	a.id, a.state, a.recent = append(a.id, ""), append(a.state, Gone), append(a.recent, nil)
@@ -765,14 +768,6 @@
 	return false
 }
 
-// coldness is the part of its capacity that an appliance has at the least.
-func (a *Agent) coldness(i int) float64 {
-	if a.start[i] <= 0 || a.warmTime <= 0 || a.now-a.start[i] >= a.warmTime {
-		return 1
-	}
-	return a.coldFrom + (1-a.coldFrom)*max(a.now-a.start[i], 0)/a.warmTime
-}
-
 // demandNow is the first tries of late, right also soon after the start, when few can have been counted.
 func (a *Agent) demandNow() float64 {
 	return a.demand * math.Exp(-(a.now-a.demandAt)/heatTime) / max(1-math.Exp(-(a.now-a.demandFrom)/heatTime), 0.05)
