A decision costs what it did: floors are found once, no map is made for each request

Cause: the map of pending keys was dropped and made anew for each request, the cap was passed as a method value, and a key's floor was found again for each backend looked at. Change: empty maps stay until their release is settled, caps come by an interface, a floor is found again only after a change.

--- a/policy/exposure/affinity.go
+++ b/policy/exposure/affinity.go
@@ -28,6 +28,7 @@
 	pending  map[int]map[Key]int // attempts that are out
 	settled  int                 // every key counts as answered by this release: its own keys were let go
 	most     int
+	changes  uint64 // counted, so that a floor need not be found again while nothing has changed
 }
 
 // keySet is the keys that one release has answered.
@@ -65,6 +66,9 @@
 	return release
 }
 
+// Changes counts what may have moved a floor.
+func (f *Affinity) Changes() uint64 { return f.changes }
+
 // Sent notes an attempt at a release: its answer may bind the key before it is seen.
 func (f *Affinity) Sent(key Key, release int) {
 	if key == 0 {
@@ -74,6 +78,7 @@
 		f.pending[release] = map[Key]int{}
 	}
 	f.pending[release][key]++
+	f.changes++
 }
 
 // Ended notes the end of an attempt that Sent has noted.
@@ -84,10 +89,8 @@
 		keys[key] = n - 1
 	case n == 1:
 		delete(keys, key)
-		if len(keys) == 0 {
-			delete(f.pending, release)
-		}
 	}
+	f.changes++
 }
 
 // Bind notes that a release has answered a key.
@@ -95,6 +98,7 @@
 	if key == 0 {
 		return
 	}
+	f.changes++
 	set := f.answered[release]
 	if set == nil {
 		set = &keySet{keys: map[Key]struct{}{}}
@@ -112,6 +116,7 @@
 func (f *Affinity) Free(release int) {
 	delete(f.answered, release)
 	delete(f.pending, release)
+	f.changes++
 }
 
 // SettleBefore lets the keys of all releases before one go, for none of these is to return. Should a backend of an even earlier
@@ -123,6 +128,12 @@
 			delete(f.answered, r)
 		}
 	}
+	for r, keys := range f.pending {
+		if r < release && len(keys) == 0 {
+			delete(f.pending, r)
+		}
+	}
+	f.changes++
 }
 
 // Len is how many keys are remembered, for all releases together.
--- a/policy/exposure/allowance.go
+++ b/policy/exposure/allowance.go
@@ -41,10 +41,15 @@
 // Use counts one attempt.
 func (w *Allowance) Use(release, lane int, now float64) { w.balance(release, now)[lane]-- }
 
-// Taken counts one request that was taken; limit says what each release's cap is, and whether it has one.
-func (w *Allowance) Taken(lane int, limit func(release int) (float64, bool)) {
+// Caps says what a release's cap is, and whether it has one.
+type Caps interface {
+	Cap(release int) (limit float64, limited bool)
+}
+
+// Taken counts one request that was taken.
+func (w *Allowance) Taken(lane int, caps Caps) {
 	for release, b := range w.balances { // each by itself, so that the order does not matter
-		if share, limited := limit(release); limited {
+		if share, limited := caps.Cap(release); limited {
 			b[lane] = min(b[lane]+share, w.free)
 		}
 	}
--- a/policy/exposure/exposure_test.go
+++ b/policy/exposure/exposure_test.go
@@ -53,6 +53,11 @@
 	}
 }
 
+// always is a cap on every release.
+type always float64
+
+func (c always) Cap(int) (float64, bool) { return float64(c), true }
+
 // In no stretch of requests do more than the free attempts and the cap's share leave, whatever the cap does meanwhile, and
 // a process that starts inside the window begins with nothing.
 func TestAllowance(t *testing.T) {
@@ -71,7 +76,7 @@
 				if n%100 == 99 {
 					limit = chance.Float64()
 				}
-				w.Taken(0, func(int) (float64, bool) { return limit, true })
+				w.Taken(0, always(limit))
 				allowed += limit
 				for chance.IntN(3) == 0 && w.Allows(3, 0, 1000) {
 					w.Use(3, 0, 1000)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -184,7 +184,7 @@
 		t.revenue *= a.overWorth
 	}
 	a.worth += (t.revenue - a.worth) * max(usualStep, 1/a.taken)
-	a.allowance.Taken(a.lane(t.product), a.book.Cap)
+	a.allowance.Taken(a.lane(t.product), a.book)
 	a.todo, a.spares = append(a.todo, t), min(a.spares+giveUp, giveUpMost)
 	a.look(t.expiry-endGuard, t)
 }
@@ -369,7 +369,7 @@
 	// What failed on the trial build is tried elsewhere.
 	failed := len(t.subs) > 0 && a.limited(t.subs[len(t.subs)-1].build)
 	trial := !failed && a.draw(t) < a.share()
-	untied := t.affinity != 0 && a.trialCap < 1 && a.affinity.Floor(t.affinity) < a.trialRelease
+	untied := t.affinity != 0 && a.trialCap < 1 && a.floor(t) < a.trialRelease
 	if untied && a.sightings[t.key] > 2+popularShare*a.trialCap*a.taken {
 		trial = false // a popular key, once tied, could need more than the allowance
 	}
--- a/policy/release/release.go
+++ b/policy/release/release.go
@@ -82,13 +82,18 @@
 		return *r
 	}
 	first := Update{Release: release, Phase: OnTrial, Cap: b.firstCap}
-	if b.known && release < b.newest || !b.known && release <= b.oldest {
-		// Nothing was ever told of it, and the fleet ran it before the newest one came: it is what is being replaced.
+	if b.before(release) {
 		first.Phase, first.Cap = Released, 1
 	}
 	return Record{Update: first}
 }
 
+// before tells, of a release of which nothing was ever told, that the fleet ran it before the newest one came: it is what is
+// being replaced.
+func (b *Book) before(release int) bool {
+	return b.known && release < b.newest || !b.known && release <= b.oldest
+}
+
 // Tell takes an update and says what it did to its release's record.
 func (b *Book) Tell(u Update) Change {
 	r := b.records[u.Release]
@@ -173,11 +178,14 @@
 
 // Cap is the share of the requests taken that may go to a release, and whether that is limited at all.
 func (b *Book) Cap(release int) (limit float64, limited bool) {
-	r := b.Of(release)
-	if r.Phase == Released {
+	r := b.records[release]
+	switch {
+	case r != nil && r.Phase == Released, r == nil && b.before(release):
 		return 1, false
+	case r != nil:
+		return r.Cap, true
 	}
-	return r.Cap, true
+	return b.firstCap, true
 }
 
 // Closed tells that a release goes back or has gone: its answers bind no key.
--- a/policy/releases.go
+++ b/policy/releases.go
@@ -38,10 +38,18 @@
 	return limited
 }
 
+// floor is the earliest release that may serve a request, by its key.
+func (a *Agent) floor(t *txn) int {
+	if now := a.affinity.Changes() + 1; t.floorOf != now {
+		t.floor, t.floorOf = a.affinity.Floor(t.affinity), now
+	}
+	return t.floor
+}
+
 // exposed guards the rule on exposure for one attempt of a request at a backend.
 func (a *Agent) exposed(t *txn, i int) bool {
 	build := a.builds[i]
-	if build < a.affinity.Floor(t.affinity) {
+	if build < a.floor(t) {
 		a.withheld.Affinity++
 		return false
 	}
@@ -49,7 +57,7 @@
 	if !limited {
 		return true
 	}
-	guarded := a.book.Of(build).Stage < a.guarded && a.products[t.product].Effect != InquiryLike
+	guarded := a.guarded > 0 && a.products[t.product].Effect != InquiryLike && a.book.Of(build).Stage < a.guarded
 	if limit <= 0 || guarded {
 		a.withheld.Closed++
 		return false
@@ -79,7 +87,7 @@
 		return false
 	}
 	s := &t.subs[attempt]
-	if a.state[s.app] != Running || a.builds[s.app] != s.build || s.build < a.affinity.Floor(t.affinity) {
+	if a.state[s.app] != Running || a.builds[s.app] != s.build || s.build < a.floor(t) {
 		return false
 	}
 	limit, limited := a.book.Cap(s.build)
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,6 +23,8 @@
 type txn struct {
 	id, key   string
 	affinity  exposure.Key // 0: any release may serve it
+	floor     int          // the earliest release that may, as of so many changes
+	floorOf   uint64
 	product   int
 	came, sla float64
 	expiry    float64
