A backend whose release no source tells binds and serves keys on the safe side

Change: release.Unknown is known to the book: it binds as the latest release known of, serves only keys that the oldest listed one may, and is never the trial that keys are drawn by. Result: TestUnknownRelease, which fails on each of the three without its part; suites of policy and sources pass.

--- a/internal/sources/merge.go
+++ b/internal/sources/merge.go
@@ -15,10 +15,6 @@
 	"onyxgate/policy"
 )
 
-// Unannounced is the build of an appliance whose build no source has told: newer than any that was announced, so that the
-// module counts it as on trial in the first stage.
-const Unannounced = 1 << 30
-
 const (
 	// missesMost good whole answers in a row without an appliance, and it is named no more: one may have been cut short by
 	// a server that was just filling.
@@ -352,7 +348,7 @@
 	if m.mean > 0 {
 		rating = min(max(float64(c.Weight)/m.mean, ratingLeast), ratingMost)
 	}
-	return Entry{Listed: policy.Listed{ID: id, Build: Unannounced, State: policy.Running, Rating: rating, Start: c.first},
+	return Entry{Listed: policy.Listed{ID: id, Build: policy.UnknownRelease, State: policy.Running, Rating: rating, Start: c.first},
 		Address: address}
 }
 
--- a/internal/sources/merge_test.go
+++ b/internal/sources/merge_test.go
@@ -94,7 +94,7 @@
 		t.Fatalf("%d changes", len(changes))
 	}
 	for i, rating := range []float64{2.25, 0.75, ratingLeast} {
-		if e := changes[i]; e.Build != Unannounced || e.Start != 7 || e.Rating != rating {
+		if e := changes[i]; e.Build != policy.UnknownRelease || e.Start != 7 || e.Rating != rating {
 			t.Errorf("%+v, want a rating of %v", e, rating)
 		}
 	}
--- a/policy/port.go
+++ b/policy/port.go
@@ -92,6 +92,9 @@
 	Back
 )
 
+// UnknownRelease is the release of a backend of which no source has told one.
+const UnknownRelease = release.Unknown
+
 // Phase is where a release stands.
 type Phase = release.Phase
 
--- a/policy/release/release.go
+++ b/policy/release/release.go
@@ -8,6 +8,10 @@
 // for good: one that is forgotten would open a withdrawn release.
 package release
 
+// Unknown is the release of a backend of which no source has told one. It may be any: it gets what the first stage may, binds keys as
+// the latest release would, and serves only those that the oldest one may.
+const Unknown = 1 << 30
+
 // Phase is where a release stands.
 type Phase uint8
 
@@ -56,7 +60,7 @@
 	records  map[int]*Record
 	newest   int // announced; valid if announced is set
 	known    bool
-	oldest   int // listed, while nothing is announced
+	oldest   int // listed
 	firstCap float64
 }
 
@@ -76,6 +80,26 @@
 // Oldest tells the oldest release that is listed: as long as nothing is announced, that one is the fleet's.
 func (b *Book) Oldest(release int) { b.oldest = release }
 
+// Serves is the release by which it is judged which keys a backend may serve: its own, or the oldest where that is unknown.
+func (b *Book) Serves(release int) int {
+	if release == Unknown {
+		return b.oldest
+	}
+	return release
+}
+
+// Binds is the release to which an answer of a backend binds its key: its own, or the latest that is known of.
+func (b *Book) Binds(release int) int {
+	if release != Unknown {
+		return release
+	}
+	latest := b.oldest
+	for r := range b.records {
+		latest = max(latest, r)
+	}
+	return latest
+}
+
 // Of is what is known of a release.
 func (b *Book) Of(release int) Record {
 	if r := b.records[release]; r != nil {
@@ -111,7 +135,7 @@
 // Listed notes that a backend of a release is listed; it tells whether nothing was known of that release and something
 // should have been, its news being still to come.
 func (b *Book) Listed(release int) (early bool) {
-	if b.records[release] != nil || !b.known || release <= b.newest {
+	if release == Unknown || b.records[release] != nil || !b.known || release <= b.newest {
 		return false
 	}
 	b.records[release] = &Record{Update: Update{Release: release, Phase: OnTrial, Cap: b.firstCap}}
--- a/policy/releases.go
+++ b/policy/releases.go
@@ -49,7 +49,7 @@
 // exposed guards the rule on exposure for one attempt of a request at a backend.
 func (a *Agent) exposed(t *txn, i int) bool {
 	build := a.builds[i]
-	if build < a.floor(t) {
+	if a.book.Serves(build) < a.floor(t) {
 		a.withheld.Affinity++
 		return false
 	}
@@ -73,8 +73,8 @@
 // may have been either that answered.
 func (a *Agent) bind(t *txn, s *submission) {
 	for _, build := range [...]int{s.build, a.builds[s.app]} {
-		if !a.book.Closed(build) {
-			a.affinity.Bind(t.affinity, build)
+		if to := a.book.Binds(build); !a.book.Closed(to) {
+			a.affinity.Bind(t.affinity, to)
 		}
 	}
 }
@@ -87,7 +87,7 @@
 		return false
 	}
 	s := &t.subs[attempt]
-	if a.state[s.app] != Running || a.builds[s.app] != s.build || s.build < a.floor(t) {
+	if a.state[s.app] != Running || a.builds[s.app] != s.build || a.book.Serves(s.build) < a.floor(t) {
 		return false
 	}
 	limit, limited := a.book.Cap(s.build)
@@ -143,7 +143,7 @@
 func (a *Agent) concluded() {
 	oldest, earlier, counts := math.MaxInt, 0, map[int]int{}
 	for i, build := range a.builds {
-		if a.state[i] == Gone {
+		if a.state[i] == Gone || build == release.Unknown {
 			continue
 		}
 		oldest = min(oldest, build)
--- a/policy/releases_test.go
+++ b/policy/releases_test.go
@@ -177,6 +177,37 @@
 	expect(t, "another agent's are others", drawn(7, 1, true) != early, true)
 }
 
+// A backend whose release no source tells may run any: its answers bind a key as the latest release's would, it serves only keys
+// that the oldest one may, and the trial's keys are not drawn anew for it.
+func TestUnknownRelease(t *testing.T) {
+	only := func(a *Agent, now float64, id string) {
+		list := []Listed{{ID: "a", Build: 1, Rating: 1}, {ID: "x", Build: 2, Rating: 1}, {ID: "u", Build: UnknownRelease, Rating: 1}}
+		for k := range list {
+			if list[k].ID != id {
+				list[k].State = Draining
+			}
+		}
+		a.List(now, list, false, false)
+	}
+	for _, c := range []struct {
+		first, then string
+		serves      bool
+	}{{"a", "u", true}, {"x", "u", false}, {"u", "x", true}, {"u", "a", false}, {"u", "u", false}} {
+		a, r := keyed(1, 1)
+		a.News(3, 2, 0, OnTrial, Unasked, 1, 0, true)
+		only(a, 4, "")
+		drawn := a.draw(&txn{key: "k", affinity: 1})
+		only(a, 5, c.first)
+		expect(t, "drawn", a.draw(&txn{key: "k", affinity: 1}), drawn)
+		a.Txn(10, "t", "k", 0, 0, false, 4000, 0)
+		expect(t, "first", where(r.take()), c.first)
+		a.Outcome(15, "t", 0, Settled, true, 5, -1, -1)
+		only(a, 20, c.then)
+		a.Txn(30, "v", "k", 0, 0, false, 4000, 0)
+		expect(t, fmt.Sprint(c.first, " has answered, ", c.then, " is there"), where(r.take()) == c.then, c.serves)
+	}
+}
+
 // What a release does is evidence on itself alone: one whose news is to come or that has been taken off counts for no other.
 func TestEvidenceByRelease(t *testing.T) {
 	for _, c := range []struct {
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,6 +13,7 @@
 // submission is one try of a txn at an appliance.
 type submission struct {
 	app, build int
+	binds      int // the release to which its answer may bind the key
 	at, due    float64
 	out        bool // no outcome yet
 	unrun      bool // proven not to have run
@@ -308,7 +309,10 @@
 		if limit, limited := a.book.Cap(a.builds[i]); limited && limit <= 0 {
 			continue // nothing may go there
 		} else if limited {
-			arm, a.trialCap, a.trialRelease = 1, max(a.trialCap, limit), max(a.trialRelease, a.builds[i])
+			arm, a.trialCap = 1, max(a.trialCap, limit)
+			if a.builds[i] != release.Unknown {
+				a.trialRelease = max(a.trialRelease, a.builds[i])
+			}
 		}
 		a.members[arm] = append(a.members[arm], i)
 		a.bear[arm] += w
@@ -340,10 +344,11 @@
 	if a.coldness(i) < 1 {
 		a.level[i] -= t.work
 	}
-	t.subs = append(t.subs, submission{app: i, build: a.builds[i], at: a.now, due: a.due(t), out: true})
+	binds := a.book.Binds(a.builds[i])
+	t.subs = append(t.subs, submission{app: i, build: a.builds[i], binds: binds, at: a.now, due: a.due(t), out: true})
 	t.out++
-	if !a.book.Closed(a.builds[i]) {
-		a.affinity.Sent(t.affinity, a.builds[i])
+	if !a.book.Closed(binds) {
+		a.affinity.Sent(t.affinity, binds)
 	}
 	a.open[i]++
 	a.openAll++
@@ -720,7 +725,7 @@
 		s.out, s.unrun = false, r == Rejected || r == Unconnected || r == Moot
 		t.out--
 		t.ended = t.ended || final
-		a.affinity.Ended(t.affinity, s.build)
+		a.affinity.Ended(t.affinity, s.binds)
 		a.open[s.app]--
 		a.openAll--
 		a.recallAt = now
