--- a/policy/releases_test.go
+++ b/policy/releases_test.go
@@ -107,10 +107,30 @@
 	a.List(3, []Listed{{ID: "b", State: Gone}}, false, false)
 	a.Txn(10, "t", "k", 0, 0, false, 4000, 0)
 	expect(t, "first", where(r.take()), "a")
-	a.List(12, []Listed{{ID: "a", Build: 2, Rating: 1}, {ID: "b", Build: 1, Rating: 1}}, false, false)
+	a.List(12, []Listed{{ID: "a", Build: 2, Rating: 1}}, false, false)
 	a.Outcome(15, "t", 0, Settled, true, 5, -1, -1)
+	a.List(16, []Listed{{ID: "a", Build: 2, Rating: 1, State: Draining}, {ID: "b", Build: 1, Rating: 1}}, false, false)
 	a.Txn(20, "u", "k", 0, 0, false, 4000, 0)
-	expect(t, "again", where(r.take()), "a")
+	expect(t, "again, with only the earlier release there", where(r.take()), "")
+	a.Txn(21, "v", "other", 0, 0, false, 4000, 0)
+	expect(t, "another key", where(r.take()), "b")
+}
+
+// With the next release announced, the one before still binds the keys that it has answered, and no others.
+func TestKeysOfReleaseBefore(t *testing.T) {
+	a, r := keyed(1, 1)
+	a.News(3, 2, 0, OnTrial, Unasked, 1, 0, true)
+	a.List(4, []Listed{{ID: "a", Build: 1, Rating: 1, State: Draining}, {ID: "x", Build: 2, Rating: 1}}, false, false)
+	a.Txn(10, "t", "k", 0, 0, false, 4000, 0)
+	a.Outcome(15, "t", 0, Settled, true, 5, -1, -1)
+	a.News(20, 2, 1, Released, Unasked, 1, 0, true)
+	a.News(21, 3, 0, OnTrial, Unasked, 1, 0, true)
+	a.List(22, []Listed{{ID: "a", Build: 1, Rating: 1}, {ID: "x", Build: 2, Rating: 1, State: Draining}}, false, false)
+	r.take()
+	for key, want := range map[string]string{"k": "", "other": "a"} {
+		a.Txn(30, key, key, 0, 0, false, 4000, 0)
+		expect(t, key, where(r.take()), want)
+	}
 }
 
 // Whether an attempt may still go out when its connection is up, after what came meanwhile.
