--- a/cmd/onyxgate/main.go
+++ b/cmd/onyxgate/main.go
@@ -17,7 +17,7 @@
 	"onyxgate/internal/setup"
 )
 
-const version = "0.11"
+const version = "0.12"
 
 type serve struct {
 	Configuration string        `name:"config" env:"NODE_CONFIG" type:"path" required:"" help:"The agent's configuration, JSON."`
--- a/internal/standin/faultproxy/faultproxy.go
+++ b/internal/standin/faultproxy/faultproxy.go
@@ -16,6 +16,7 @@
 	mu       sync.Mutex
 	changed  *sync.Cond
 	held     func(firstLine string) bool
+	passes   func(firstLine string, bytes []byte)
 	heldNow  int // connections on which bytes of the target wait
 	sessions map[net.Conn]bool
 }
@@ -50,6 +51,13 @@
 	p.changed.Broadcast()
 }
 
+// OnPass names who sees the target's bytes just before they go to the near side; it is set before the first connection.
+func (p *Proxy) OnPass(passes func(firstLine string, bytes []byte)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.passes = passes
+}
+
 // Holding is on how many connections bytes wait now.
 func (p *Proxy) Holding() int {
 	p.mu.Lock()
@@ -146,7 +154,7 @@
 		n, err := s.far.Read(buffer)
 		if n > 0 {
 			<-s.named
-			s.proxy.wait(s.firstLine)
+			s.proxy.wait(s.firstLine, buffer[:n])
 			if _, err := s.near.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -157,16 +165,18 @@
 	}
 }
 
-// wait returns when bytes of the target may pass on a connection with this first line.
-func (p *Proxy) wait(firstLine string) {
+// wait returns when these bytes of the target may pass on a connection with this first line.
+func (p *Proxy) wait(firstLine string, bytes []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.held == nil || !p.held(firstLine) {
-		return
+	if p.held != nil && p.held(firstLine) {
+		p.heldNow++
+		for p.held != nil && p.held(firstLine) {
+			p.changed.Wait()
+		}
+		p.heldNow--
 	}
-	p.heldNow++
-	for p.held != nil && p.held(firstLine) {
-		p.changed.Wait()
+	if p.passes != nil {
+		p.passes(firstLine, bytes)
 	}
-	p.heldNow--
 }
--- a/internal/standin/tier/affinity.go
+++ b/internal/standin/tier/affinity.go
@@ -1,7 +1,7 @@
 package tier
 
-// This file owns the rule on keys as it is seen from outside: a key that a release has answered through an agent goes to no
-// earlier release through it, unless that release goes back.
+// This file owns the rule on exposure as it is seen from outside: a key that a release has answered through an agent goes to no
+// earlier release through it, unless that release goes back; and nothing goes to a release whose cap an agent was told is 0.
 
 import (
 	"fmt"
@@ -64,6 +64,59 @@
 	a.answers[k] = append(a.answers[k], answeredBy{release, time.Now()})
 }
 
+// closedFor is how long after an agent was told of a cap of 0 attempts at its release may still arrive.
+const closedFor = Grace + 150*time.Millisecond
+
+type agentRelease struct{ agent, release int }
+
+// Closed counts attempts at releases that an agent was told are closed.
+type Closed struct {
+	Told   int // closings told
+	Broken []string
+}
+
+// Tells notes a state of a release that has been written to an agent.
+func (w *World) Tells(agent, release int, limit float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k := agentRelease{agent, release}
+	if _, told := w.closed[k]; limit == 0 && !told {
+		w.closed[k] = time.Now()
+		w.seenClosed.Told++
+	}
+}
+
+// Forget begins an agent's records anew: its process has ended, and the next one starts from nothing.
+func (w *World) Forget(agent int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for k := range w.affinity.answers {
+		if k.agent == agent {
+			delete(w.affinity.answers, k)
+		}
+	}
+	for k := range w.closed {
+		if k.agent == agent {
+			delete(w.closed, k)
+		}
+	}
+}
+
+// Closed is what was seen of closed releases so far.
+func (w *World) Closed() Closed {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.seenClosed
+}
+
+// reaches notes an attempt at a release; under the lock.
+func (w *World) reaches(agent, release int, id string) {
+	if at, told := w.closed[agentRelease{agent, release}]; told && time.Since(at) > closedFor {
+		w.seenClosed.Broken = append(w.seenClosed.Broken, fmt.Sprintf("request %s, agent n%d: release %d, told closed %d ms before", id,
+			agent, release, time.Since(at).Milliseconds()))
+	}
+}
+
 // goesBack frees the keys of a release.
 func (a *affinity) goesBack(release int) {
 	a.back[release] = true
--- a/internal/standin/tier/control.go
+++ b/internal/standin/tier/control.go
@@ -51,12 +51,14 @@
 	w.tell()
 }
 
-// VoteCount is how many votes have come so far.
-func (w *World) VoteCount() (n int) {
+// ReadyBackends is how many backends of a release are listed as ready.
+func (w *World) ReadyBackends(release int) (n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, count := range w.Votes {
-		n += count
+	for _, a := range w.fleet {
+		if a.Build == release && a.state == "Ready" {
+			n++
+		}
 	}
 	return n
 }
--- a/internal/standin/tier/serve.go
+++ b/internal/standin/tier/serve.go
@@ -121,6 +121,7 @@
 	key := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	w.attempts[a.Build]++
 	w.affinity.attempt(agent, key, id, a.Build)
+	w.reaches(agent, a.Build, id)
 	draining := a.state != "Ready"
 	w.mu.Unlock()
 	a.inside.Add(1)
