--- a/internal/standin/tier/affinity.go
+++ b/internal/standin/tier/affinity.go
@@ -86,10 +86,12 @@
 	}
 }
 
-// Forget begins an agent's records anew: its process has ended, and the next one starts from nothing.
+// Forget begins an agent's records anew: its process has ended, and the next one starts from nothing. Answers to what the one
+// before had sent are nobody's from here on.
 func (w *World) Forget(agent int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.process[agent]++
 	for k := range w.affinity.answers {
 		if k.agent == agent {
 			delete(w.affinity.answers, k)
--- a/internal/standin/tier/serve.go
+++ b/internal/standin/tier/serve.go
@@ -122,7 +122,7 @@
 	w.attempts[a.Build]++
 	w.affinity.attempt(agent, key, id, a.Build)
 	w.reaches(agent, a.Build, id)
-	draining := a.state != "Ready"
+	draining, process := a.state != "Ready", w.process[agent]
 	w.mu.Unlock()
 	a.inside.Add(1)
 	defer a.inside.Add(-1)
@@ -157,7 +157,9 @@
 	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	io.WriteString(rw, answer)
 	w.mu.Lock()
-	w.affinity.answered(agent, key, a.Build)
+	if process == w.process[agent] {
+		w.affinity.answered(agent, key, a.Build)
+	}
 	w.mu.Unlock()
 }
 
--- a/internal/standin/tier/tier.go
+++ b/internal/standin/tier/tier.go
@@ -91,6 +91,7 @@
 
 	closed     map[agentRelease]time.Time // when an agent was told that a release's cap is 0
 	seenClosed Closed
+	process    []int // of each agent, counted
 }
 
 // Broken counts breaches of the rules as seen from outside; lost txns are the clients' to count.
@@ -103,7 +104,7 @@
 	w := &World{Agents: agents, chance: rand.New(rand.NewPCG(seed, 1)), watch: map[*listener]bool{},
 		notice: map[*listener]bool{}, Votes: map[string]int{}, marks: map[string]time.Time{}, ran: map[string]int{},
 		takens: make([][]time.Time, agents), trials: make([][]time.Time, agents), muted: map[int]bool{},
-		Platform: map[int]string{}, closed: map[agentRelease]time.Time{}, attempts: map[int]int{}, affinity: affinity{answers: map[agentKey][]answeredBy{}, back: map[int]bool{}}}
+		Platform: map[int]string{}, closed: map[agentRelease]time.Time{}, process: make([]int, agents), attempts: map[int]int{}, affinity: affinity{answers: map[agentKey][]answeredBy{}, back: map[int]bool{}}}
 	for range agents {
 		w.reach = append(w.reach, map[int64]map[string]bool{})
 	}
