Backends' starts are believed until a step of the clock is seen, or where they can't be true

Cause: counting every backend that comes while a process runs from its listing on took too much from slow starts. Change: internal/core/clock.go sees steps of the wall clock against the monotonic one, at each list and each second; from then on a backend counts as just started when it is listed. So does one whose told start lies further back than a first listing can, 20 s, or in the future: then it was told by another clock. Else the start is believed. Relied on: where a process was started with a clock off by seconds, which nothing shows it, starts are judged with that error.

--- /dev/null
+++ b/internal/core/clock_test.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"onyxgate/policy"
+)
+
+// A step of the wall clock is seen once, either way; a slow drift, or a pause between the two readings, is none.
+func TestClockStep(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		wall    []time.Duration // of the wall clock at each reading in turn, against the monotonic one; the last holds on
+		stepped time.Duration
+	}{
+		{"none", []time.Duration{0}, 0},
+		{"an hour back", []time.Duration{-time.Hour}, -time.Hour},
+		{"five seconds forward", []time.Duration{5 * time.Second}, 5 * time.Second},
+		{"some milliseconds", []time.Duration{100 * time.Millisecond}, 0},
+		{"the process stood still between two readings", []time.Duration{-400 * time.Millisecond, 0}, 0},
+	} {
+		reads := 0
+		k := clock{monotonic: func() time.Duration { return time.Minute }}
+		k.wall = func() int64 {
+			reads++
+			return int64(time.Minute + c.wall[min(reads, len(c.wall))-1])
+		}
+		if got := k.step(); got != c.stepped {
+			t.Errorf("%s: %v", c.name, got)
+		}
+		if got := k.step(); got != 0 {
+			t.Errorf("%s: seen again, %v", c.name, got)
+		}
+	}
+}
+
+// A backend that is listed after a step counts as just started, and no time that the module is handed moves with the step.
+func TestStepReachesModule(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, _ := hosted(policy.Product{}, 1)
+		before := core.Now()
+		wall := core.clock.wall
+		core.clock.wall = func() int64 { return wall() - int64(time.Hour) }
+		core.List([]policy.Listed{{ID: "n", Build: 1, Rating: 1, Start: before - 1}}, false, false)
+		if core.Now() != before {
+			t.Errorf("the module's time moved by %v ms", core.Now()-before)
+		}
+		if line := <-core.Lines(); !strings.HasPrefix(line, "wall clock stepped by -1h0m0s") {
+			t.Errorf("logged %q", line)
+		}
+		core.Counts()
+		if len(core.Lines()) != 0 {
+			t.Errorf("told again: %q", <-core.Lines())
+		}
+		core.wake.Stop()
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,8 +36,7 @@
 	inside   bool // an event is being handled
 	agent    *policy.Agent
 	calls    Calls
-	from     time.Time
-	fromMs   float64
+	clock    clock
 	requests map[string]*Request
 	timers   timers
 	wake     *time.Timer
@@ -60,8 +59,7 @@
 
 // New starts the clock; no event may come before Start.
 func New(calls Calls) *Core {
-	now := time.Now()
-	return &Core{calls: calls, from: now, fromMs: float64(now.UnixNano()) / 1e6, requests: map[string]*Request{},
+	return &Core{calls: calls, clock: newClock(), requests: map[string]*Request{},
 		builds: map[string]int{}, lines: make(chan string, 256)}
 }
 
@@ -75,13 +73,14 @@
 
 // Now is Unix time in milliseconds at the start and runs on evenly from there: a step of the machine's clock must not
 // reach the module.
-func (c *Core) Now() float64 { return c.fromMs + float64(time.Since(c.from))/1e6 }
+func (c *Core) Now() float64 { return c.clock.now() }
 
 // Lines are the module's own log lines.
 func (c *Core) Lines() <-chan string { return c.lines }
 
-// Counts are the counts now.
+// Counts are the counts now. They are asked for every second, so the clock is looked at too.
 func (c *Core) Counts() Counts {
+	c.lookAtClock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.counts
@@ -123,6 +122,7 @@
 
 // List, ListFailed, News and Probed pass on what was told.
 func (c *Core) List(entries []policy.Listed, whole, old bool) {
+	c.lookAtClock()
 	c.carries(entries, whole)
 	c.enter("list", func(now float64) { c.agent.List(now, entries, whole, old) })
 }
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -1,16 +1,28 @@
 package policy
 
-// This file owns how long a backend has been up, and by that what part of its capacity it has at the least.
+// This file owns how long a backend has been up, and by that what part of its capacity it has at the least. Its start is told by
+// others' wall clock, which may be stepped, as may ours; this process's own time runs on evenly.
 
-// upSince is since when a backend has been up for certain, told its start by others' wall clock (0: long ago). That clock, or
-// ours, may have been stepped since this process started, by an hour or by seconds: a fresh backend would then pass for a warm one. So one
-// that comes while the process runs has been up since it was listed, which is later than its start by the list's delay and never
-// too soon. One in the first list has its start believed, for there is nothing else to go by, but none in the future.
+// listingLate (ms) is how long a backend can have been up when it is first listed while a process runs: discovery tells within seconds, an
+// outage included. One that was up for longer is told by another clock. It trades the warm-up of backends after a very long outage.
+const listingLate = 20000
+
+// ClockStepped tells that the wall clock was stepped since this process started.
+func (a *Agent) ClockStepped(now float64) {
+	a.at(now)
+	a.clockStepped = true
+	a.settle()
+}
+
+// upSince is since when a backend has been up for certain, by a start as told (0: long ago). A fresh backend must never pass for
+// a warm one. So the start is believed only as long as no step of the clock was seen and where it can be true of a backend that is listed
+// just now; else it has been up since now, which is later than its start by the list's delay and never too soon. In a process's first
+// list there is nothing else to go by.
 func (a *Agent) upSince(start float64) float64 {
-	if start <= 0 {
+	switch {
+	case start <= 0:
 		return 0
-	}
-	if a.listed {
+	case a.listed && (a.clockStepped || a.now-start > listingLate):
 		return a.now
 	}
 	return min(start, a.now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -73,6 +73,7 @@
 	state                       []State
 	rating, start               []float64
 	up                          []float64 // since when, at the latest, it has been up; 0: long ago
+	clockStepped                bool      // the wall clock, since the start
 	listed                      bool      // a list other than the one that the process started with has come
 	open                        []int
 	limit                       []float64 // own open submissions that it may have
