The guard itself keeps attempts from a release that goes back, by a test

Seen: one of the nineteen mutations had not compiled and passed for caught; made to compile (limit < 0 in exposed) it survived, for the choice of backends leaves closed ones out before. The guard is still what holds where a probe was out as the word came. Result: TestGuard's new case fails with the mutation and passes without.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -508,6 +508,7 @@
 		{"ended", func(a *Agent, x *txn) { x.ended = true }},
 		{"allowance used up", func(a *Agent, x *txn) { a.allowance.Use(1, 0, a.now); a.allowance.Use(1, 0, a.now) }},
 		{"draining", func(a *Agent, x *txn) { a.state[0] = Draining }},
+		{"its release goes back", func(a *Agent, x *txn) { a.News(3, 1, 1, GoingBack, Unasked, 0, 0, true) }},
 	} {
 		a, _ := tier(Product{}, 1)
 		a.News(2, 1, 1, OnTrial, Unasked, 0.5, 0, true)
