The test of a clock's step asks what the decisions make of it

Seen on rereading, by a mutation: with ClockStepped never called, TestStepReachesModule stayed green; it asked for the log line alone, and crossings.md named it as what holds the order. Change: it asks whether a request waits for the slow start of a backend that is listed after a step, and does not without one. No program line is changed.

--- a/internal/core/clock_test.go
+++ b/internal/core/clock_test.go
@@ -37,24 +37,41 @@
 	}
 }
 
-// A backend that is listed after a step counts as just started, and no time that the module is handed moves with the step.
+// After a step a backend that is listed counts as just started, and a request waits for its slow start; without one its start
+// is believed, and it is warm. No time that the module is handed moves with the step.
 func TestStepReachesModule(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		core, _ := hosted(policy.Product{}, 1)
-		before := core.Now()
-		wall := core.clock.wall
-		core.clock.wall = func() int64 { return wall() - int64(time.Hour) }
-		core.List([]policy.Listed{{ID: "n", Build: 1, Rating: 1, Start: before - 1}}, false, false)
-		if core.Now() != before {
-			t.Errorf("the module's time moved by %v ms", core.Now()-before)
-		}
-		if line := <-core.Lines(); !strings.HasPrefix(line, "wall clock stepped by -1h0m0s") {
-			t.Errorf("logged %q", line)
-		}
-		core.Counts()
-		if len(core.Lines()) != 0 {
-			t.Errorf("told again: %q", <-core.Lines())
-		}
-		core.wake.Stop()
-	})
+	for _, stepped := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			core := New(&calls{})
+			core.Start(func(port policy.Port) *policy.Agent {
+				a := policy.New(port, 7, 0, 1)
+				a.Serve([]policy.Product{{SLA: 1000, Expiry: 4000, Revenue: 1}}, 3, false, true)
+				a.Warm(0.4, 5000, 3, 1000)
+				return a
+			})
+			core.List(nil, true, false)
+			before := core.Now()
+			if wall := core.clock.wall; stepped {
+				core.clock.wall = func() int64 { return wall() - int64(time.Hour) }
+			}
+			core.List([]policy.Listed{{ID: "n", Build: 1, Rating: 1, Start: before - 10_000}}, false, false)
+			if core.Now() != before {
+				t.Errorf("the module's time moved by %v ms", core.Now()-before)
+			}
+			x := core.Take(core.Now(), "t", "", "", 0, false, 3000, "", nil)
+			if out := core.Counts().Out; (out == 0) != stepped {
+				t.Errorf("stepped %v: %d attempts at once", stepped, out)
+			}
+			if stepped {
+				if line := <-core.Lines(); !strings.HasPrefix(line, "wall clock stepped by -1h0m0s") {
+					t.Errorf("logged %q", line)
+				}
+			}
+			if len(core.Lines()) != 0 {
+				t.Errorf("told again: %q", <-core.Lines())
+			}
+			x.Close()
+			core.wake.Stop()
+		})
+	}
 }
