Review case 2: an answer is completed with bytes of a late copy of a probe's answer

Appliances send some answers with a length that is too large, and some answers once more 3 to 20 ms later. A connection is reused at once after a load probe, and the copy of the probe's answer is taken for the rest of the spoilt one.

Nothing outside review/ is changed.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -26,6 +26,7 @@
 	answered time.Time // when the last byte of the answer was read; zero: never
 	left     time.Time // when it closed its connection with no answer; zero: it did not
 	status   int
+	body     string // of the answer
 	err      error
 }
 
@@ -55,9 +56,12 @@
 		return
 	}
 	defer answer.Body.Close()
-	if _, r.err = io.ReadAll(answer.Body); r.err != nil {
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		r.err = err
 		return
 	}
+	r.body = string(body)
 	r.answered, r.status = time.Now(), answer.StatusCode
 	_ = conn.SetReadDeadline(time.Time{})
 	if answer.Close {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,7 +18,7 @@
 	noTrial = 2
 )
 
-var cases = map[string]func(*trial) int{"restart": runRestart, "record": runRecord, "stalled": runStalled}
+var cases = map[string]func(*trial) int{"restart": runRestart, "record": runRecord, "stalled": runStalled, "foreign": runForeign}
 
 // trial is one run of a case.
 type trial struct {
