--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -18,7 +18,7 @@
 	noTrial = 2
 )
 
-var cases = map[string]func(*trial) int{"restart": runRestart, "record": runRecord, "stalled": runStalled, "foreign": runForeign}
+var cases = map[string]func(*trial) int{"restart": runRestart, "record": runRecord, "stalled": runStalled, "foreign": runForeign, "halves": runHalves}
 
 // trial is one run of a case.
 type trial struct {
@@ -71,9 +71,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return noTrial
 	}
-	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
-	}
+	defer os.RemoveAll(dir)
 	root, _ = filepath.Abs(root)
 	t := &trial{root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), record: record}
 	defer func() {
