Count client connections that are receiving a request, and the time accepting is blocked

The counts could not tell whether accepting stopped for want of a socket, because of requests being handled, or because of a slow process: a connection with an incomplete body was neither idle nor open.

Change: Sockets lists the connections that are receiving a request and sums the time in which Accept found no socket. Both are in the counts line (client_connections_receiving, accept_blocked_ms) and in the metrics. Sockets.Used, which returned three numbers, is Usage, a struct. Connections are closed as before.

--- a/internal/assembly/metrics.go
+++ b/internal/assembly/metrics.go
@@ -8,6 +8,7 @@
 	"fmt"
 
 	"onyxgate/internal/core"
+	"onyxgate/internal/httpwire"
 	"onyxgate/internal/invariant"
 	"onyxgate/internal/metrics"
 	"onyxgate/internal/record/recorder"
@@ -34,6 +35,13 @@
 	{"onyxgate_invariant_violations_total", "violations of invariants", func(core.Counts) float64 { return float64(invariant.Violations()) }},
 }
 
+var socketMetrics = []metric[httpwire.SocketUsage]{
+	{"onyxgate_client_connections", "connections of clients", func(u httpwire.SocketUsage) float64 { return float64(u.Clients) }},
+	{"onyxgate_client_connections_idle", "client connections that carry no request", func(u httpwire.SocketUsage) float64 { return float64(u.IdleClients) }},
+	{"onyxgate_client_connections_receiving", "client connections on which a request has begun to arrive and is not complete", func(u httpwire.SocketUsage) float64 { return float64(u.ReceivingClients) }},
+	{"onyxgate_accept_blocked_seconds_total", "time for which new connections had to wait in the backlog for a socket", func(u httpwire.SocketUsage) float64 { return u.AcceptBlocked.Seconds() }},
+}
+
 var releaseMetrics = []metric[core.Counts]{
 	{"onyxgate_release_newest", "number of the newest release", func(n core.Counts) float64 { return float64(n.Releases.Newest.Release) }},
 	{"onyxgate_release_stage", "stage of the newest release", func(n core.Counts) float64 { return float64(n.Releases.Newest.Stage) }},
@@ -103,6 +111,7 @@
 	meter := metrics.New()
 	register(meter, requestMetrics, s.core.Counts)
 	register(meter, releaseMetrics, s.core.Counts)
+	register(meter, socketMetrics, s.sockets.Usage)
 	if s.sources != nil {
 		register(meter, sourceMetrics, s.sources.Counts)
 		register(meter, rulesMetrics(), s.sources.Counts)
--- a/internal/assembly/report.go
+++ b/internal/assembly/report.go
@@ -46,14 +46,15 @@
 func (s *Server) logTraffic() {
 	n := s.core.Counts()
 	opened, idle, withoutSocket := s.upstream.Connections()
-	sockets, clients, idleClients := s.sockets.Used()
+	sockets := s.sockets.Usage()
 	version, listed := s.discovery.Version()
 	logrus.WithFields(logrus.Fields{
 		"cpu_ms":   cpuMs(),
 		"accepted": n.Accepted, "served": n.Served, "rejected": n.Rejected, "failed": n.Failed, "client_gone": n.ClientGone,
 		"invalid_requests": s.front.InvalidRequests(), "requests_open": n.OpenRequests,
 		"attempts_open": n.OpenAttempts, "attempts_ended": fmt.Sprint(n.AttemptsByStatus[policy.StatusServed:]), "attempts_withheld": n.AttemptsWithheld,
-		"sockets": sockets, "client_connections": clients, "client_connections_idle": idleClients,
+		"sockets": sockets.Open, "client_connections": sockets.Clients, "client_connections_idle": sockets.IdleClients,
+		"client_connections_receiving": sockets.ReceivingClients, "accept_blocked_ms": sockets.AcceptBlocked.Milliseconds(),
 		"backend_connections_opened": opened, "backend_connections_idle": idle, "attempts_without_socket": withoutSocket,
 		"list_version": version, "backends": listed,
 		"timers": n.Timers, "invariant_violations": invariant.Violations(),
--- a/internal/httpwire/front_test.go
+++ b/internal/httpwire/front_test.go
@@ -247,7 +247,7 @@
 				t.Errorf("request %d: Req-Deadline at the backend = %s, want 2000m", k, got)
 			}
 			time.Sleep(500 * time.Millisecond)
-			if _, _, idle := instance.front.sockets.Used(); idle != 1 {
+			if idle := instance.front.sockets.Usage().IdleClients; idle != 1 {
 				t.Errorf("after request %d: idle client connections = %d, want 1", k, idle)
 			}
 		}
--- a/internal/httpwire/listener.go
+++ b/internal/httpwire/listener.go
@@ -22,9 +22,11 @@
 func (l Listener) Accept() (net.Conn, error) {
 	for {
 		if !l.Sockets.makeRoom(true) {
+			l.Sockets.blockAccept()
 			time.Sleep(acceptRetry)
 			continue
 		}
+		l.Sockets.unblockAccept()
 		conn, err := l.Listener.Accept()
 		if err == nil {
 			return l.Sockets.track(conn, true), nil
@@ -34,6 +36,7 @@
 		if !noDescriptor {
 			return nil, err
 		}
+		l.Sockets.blockAccept()
 		time.Sleep(acceptRetry)
 	}
 }
--- a/internal/httpwire/pool_test.go
+++ b/internal/httpwire/pool_test.go
@@ -37,7 +37,7 @@
 					t.Errorf("connections: opened %d, idle %d; want %d and %d", opened, idle, c.opened, c.idle)
 				}
 				instance.close()
-				if all, _, _ := instance.front.sockets.Used(); all != 0 {
+				if all := instance.front.sockets.Usage().Open; all != 0 {
 					t.Errorf("sockets in use after closing = %d, want 0", all)
 				}
 			})
--- a/internal/httpwire/shutdown.go
+++ b/internal/httpwire/shutdown.go
@@ -65,8 +65,7 @@
 
 // clientConns returns the number of open client connections.
 func (f *Front) clientConns() int {
-	_, clients, _ := f.sockets.Used()
-	return clients
+	return f.sockets.Usage().Clients
 }
 
 // poll calls done at once and then every shutdownPoll, and returns when done reports true or ctx is done.
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -62,7 +62,10 @@
 	clients          int        // open client connections
 	newConns         *list.List // of *trackedConn: clients without a complete request head so far, oldest entry first
 	idleConns        *list.List // of *trackedConn: clients between two requests, oldest entry first
+	receivingConns   *list.List // of *trackedConn: clients whose request, apart from a first head, has begun to arrive
 	shortageLoggedAt time.Time
+	acceptBlockedAt  time.Time     // since when accepting has been blocked; zero: it is not
+	acceptBlocked    time.Duration // total time for which accepting was blocked, up to acceptBlockedAt
 }
 
 // NewSockets returns a budget for a process that may open limit descriptors; 0 means no limit.
@@ -75,15 +78,52 @@
 		closeIdleBackend: func() bool { return false },
 		newConns:         list.New(),
 		idleConns:        list.New(),
+		receivingConns:   list.New(),
 	}
 }
 
-// Used returns the number of open connections, how many of them belong to clients, and how many client connections
-// carry no request.
-func (s *Sockets) Used() (all, clients, idle int) {
+// SocketUsage describes how the budget is used at one moment.
+type SocketUsage struct {
+	Open             int           // all connections
+	Clients          int           // connections of clients
+	IdleClients      int           // client connections that carry no request
+	ReceivingClients int           // client connections whose request is not complete, apart from the head of a first request
+	AcceptBlocked    time.Duration // total time for which new connections had to wait in the backlog for a socket
+}
+
+// Usage returns the current use of the budget.
+func (s *Sockets) Usage() SocketUsage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usage := SocketUsage{
+		Open: s.used, Clients: s.clients,
+		IdleClients: s.idleConns.Len() + s.newConns.Len(), ReceivingClients: s.receivingConns.Len(),
+		AcceptBlocked: s.acceptBlocked,
+	}
+	if !s.acceptBlockedAt.IsZero() {
+		usage.AcceptBlocked += time.Since(s.acceptBlockedAt)
+	}
+	return usage
+}
+
+// blockAccept records that a new connection has to wait in the backlog.
+func (s *Sockets) blockAccept() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.acceptBlockedAt.IsZero() {
+		s.acceptBlockedAt = time.Now()
+	}
+}
+
+// unblockAccept records that new connections can be accepted again.
+func (s *Sockets) unblockAccept() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.used, s.clients, s.idleConns.Len() + s.newConns.Len()
+	if s.acceptBlockedAt.IsZero() {
+		return
+	}
+	s.acceptBlocked += time.Since(s.acceptBlockedAt)
+	s.acceptBlockedAt = time.Time{}
 }
 
 // ClientLimit returns the maximum number of client connections.
@@ -243,12 +283,20 @@
 	}
 }
 
-// ConnActive records that a client connection carries a request or is closed.
+// ConnActive records that a client connection is not idle: it carries a request or is closed.
 func (s *Sockets) ConnActive(conn net.Conn) {
-	if c, ok := conn.(*trackedConn); ok {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		c.removeFromList()
+	c, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.inList == s.receivingConns {
+		return
+	}
+	c.removeFromList()
+	if isReceiving := !c.betweenRequests && !c.closed; isReceiving {
+		c.addTo(s.receivingConns)
 	}
 }
 
@@ -261,6 +309,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.betweenRequests, c.requestStart = true, time.Time{}
+	if c.inList == s.receivingConns {
+		c.removeFromList()
+	}
 }
 
 // RequestAge returns the time since the first byte of the current request arrived, or 0 if that was not observed or the
--- a/internal/httpwire/sockets_test.go
+++ b/internal/httpwire/sockets_test.go
@@ -24,7 +24,7 @@
 			s.makeRoom(true)
 			clients = append(clients, s.track(conn, true))
 		}
-		used := func() int { _, n, _ := s.Used(); return n }
+		used := func() int { return s.Usage().Clients }
 		for range 8 {
 			track()
 		}
@@ -71,8 +71,8 @@
 		for _, c := range clients {
 			c.Close()
 		}
-		if all, _, idle := s.Used(); all != 0 || idle != 0 {
-			t.Errorf("after closing all: %d sockets in use, %d idle; want none", all, idle)
+		if usage := s.Usage(); usage.Open != 0 || usage.IdleClients != 0 {
+			t.Errorf("after closing all: %d sockets in use, %d idle; want none", usage.Open, usage.IdleClients)
 		}
 	})
 }
@@ -226,12 +226,12 @@
 	s.RequestRead(conn) // r1 is complete
 	read(1)
 	s.ConnIdle(conn, false)
-	if _, _, idle := s.Used(); idle != 0 || s.RequestAge(conn) == 0 {
+	if idle := s.Usage().IdleClients; idle != 0 || s.RequestAge(conn) == 0 {
 		t.Errorf("idle connections = %d, request age = %v; want 0 and more than 0", idle, s.RequestAge(conn))
 	}
 	s.RequestRead(conn)
 	s.ConnIdle(conn, false)
-	if _, _, idle := s.Used(); idle != 1 || s.RequestAge(conn) != 0 {
+	if idle := s.Usage().IdleClients; idle != 1 || s.RequestAge(conn) != 0 {
 		t.Errorf("idle connections = %d, request age = %v; want 1 and 0", idle, s.RequestAge(conn))
 	}
 }
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -28,25 +28,25 @@
 	// The fields below are guarded by sockets.mu.
 
 	closed          bool
-	evicted         bool      // found idle and about to be closed; no more bytes are read
-	betweenRequests bool      // no byte of the next request has been read
-	requestStart    time.Time // when the first byte of the request was read; zero: not observed
-	idleList        *list.List
-	element         *list.Element // the connection's entry in idleList; nil: not listed
+	evicted         bool          // found idle and about to be closed; no more bytes are read
+	betweenRequests bool          // no byte of the next request has been read
+	requestStart    time.Time     // when the first byte of the request was read; zero: not observed
+	inList          *list.List    // the list of Sockets that holds the connection; nil: none
+	element         *list.Element // the connection's entry in inList; nil: not listed
 	listedAt        time.Time
 }
 
-// addTo appends the connection to one of the lists of idle connections. sockets.mu must be held.
-func (c *trackedConn) addTo(idle *list.List) {
-	c.idleList, c.listedAt = idle, time.Now()
-	c.element = idle.PushBack(c)
+// addTo appends the connection to one of the lists of Sockets. It must not be in another one. sockets.mu must be held.
+func (c *trackedConn) addTo(to *list.List) {
+	c.inList, c.listedAt = to, time.Now()
+	c.element = to.PushBack(c)
 }
 
 // removeFromList removes the connection from its list, if it is in one. sockets.mu must be held.
 func (c *trackedConn) removeFromList() {
 	if c.element != nil {
-		c.idleList.Remove(c.element)
-		c.element = nil
+		c.inList.Remove(c.element)
+		c.inList, c.element = nil, nil
 	}
 }
 
@@ -58,8 +58,9 @@
 	if c.betweenRequests {
 		c.betweenRequests, c.requestStart = false, time.Now()
 	}
-	if c.idleList == c.sockets.idleConns {
+	if c.inList == c.sockets.idleConns {
 		c.removeFromList()
+		c.addTo(c.sockets.receivingConns)
 	}
 }
 
