Move the eviction of client connections into a file of its own

sockets.go held the budget's counts and the order in which idle connections are closed. The second part moves to eviction.go unchanged, before it grows. No code changes.

--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -6,8 +6,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -26,18 +24,6 @@
 	// maxClientShare is the largest share of the budget for clients. Without sockets for backends, no open request could
 	// make progress.
 	maxClientShare = 0.8
-
-	// idleGrace is how long a client connection is protected from eviction after its last request or, if it is new, after
-	// it was accepted: the client may be about to use it. It is short because clients rotate through their connections:
-	// with hundreds of them idle, each would be used again before a longer grace period expires.
-	idleGrace = 20 * time.Millisecond
-	// newConnGrace is how long a connection without a request yet is protected from eviction, unless nothing else can be
-	// closed. A shorter silence is normal, because a slow client takes time to send a request head, and its request is
-	// lost if the connection is closed. After that time, the connection may be one of hundreds that never carry a request.
-	newConnGrace = time.Second
-
-	// shortageLogInterval is the minimum time between two warnings that the budget is exhausted.
-	shortageLogInterval = 5 * time.Second
 )
 
 // Sockets is the budget of open connections that clients and backends share. It counts them and closes idle ones when
@@ -136,129 +122,6 @@
 	return s.used >= s.limit
 }
 
-// occupancy describes how full the budget is when one more connection is requested.
-type occupancy struct {
-	full             bool // no connection can be added
-	clientsOverShare bool // clients hold at least clientShare of the budget
-	hasRoom          bool // there is room for the requested connection
-}
-
-func (s *Sockets) occupancy(isClient bool) occupancy {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := occupancy{
-		full:             s.used >= s.limit,
-		clientsOverShare: float64(s.clients) >= clientShare*float64(s.limit),
-	}
-	clientsFull := isClient && s.clients >= s.ClientLimit()
-	o.hasRoom = !o.full && !clientsFull
-	return o
-}
-
-// makeRoom prepares for one more connection, of a client or to a backend, and reports whether there is room for it. It
-// closes at most one idle connection: if there is no room, or if the connection is a client's and clients hold at least
-// clientShare. It reserves nothing: track counts the connection once it is established.
-func (s *Sockets) makeRoom(isClient bool) bool {
-	before := s.occupancy(isClient)
-	shouldFree := !before.hasRoom || isClient && before.clientsOverShare
-	if !shouldFree {
-		return true
-	}
-	s.closeOneIdle(before)
-	after := s.occupancy(isClient)
-	if after.full {
-		s.logShortage()
-	}
-	return after.hasRoom
-}
-
-// closeOneIdle closes at most one idle connection, trying the ones that are least likely to be needed first:
-//
-//  1. a client connection without a request that was accepted at least newConnGrace ago
-//  2. a client connection between requests, if clients hold at least clientShare
-//
-// If there is no room for the requested connection, it goes on with:
-//
-//  3. a backend connection, if the budget is full
-//  4. a client connection between requests
-//  5. a client connection that was accepted at least idleGrace ago: its client may be about to send a request
-func (s *Sockets) closeOneIdle(o occupancy) {
-	if s.closeIdleClient(s.newConns, newConnGrace) {
-		return
-	}
-	if o.clientsOverShare && s.closeIdleClient(s.idleConns, idleGrace) {
-		return
-	}
-	if o.hasRoom {
-		return
-	}
-	if o.full && s.closeIdleBackend() {
-		return
-	}
-	if s.closeIdleClient(s.idleConns, idleGrace) {
-		return
-	}
-	s.closeIdleClient(s.newConns, idleGrace)
-}
-
-// logShortage warns that the budget is exhausted, at most once per shortageLogInterval.
-func (s *Sockets) logShortage() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if time.Since(s.shortageLoggedAt) <= shortageLogInterval {
-		return
-	}
-	s.shortageLoggedAt = time.Now()
-	logrus.WithFields(logrus.Fields{"open": s.used, "clients": s.clients, "limit": s.limit}).Warn("no socket left, and none is idle")
-}
-
-// maxBusySkipped limits how many connections closeIdleClient skips because they turn out not to be idle.
-const maxBusySkipped = 8
-
-// closeIdleClient closes the first connection of a list, which is its oldest entry, if it has been listed for at least
-// the grace period, and reports whether it closed one. A connection with unread data may carry a request: it is removed
-// from the list and the next one is tried.
-func (s *Sockets) closeIdleClient(from *list.List, grace time.Duration) (closed bool) {
-	for range maxBusySkipped {
-		conn, isIdle := s.popIdleClient(from, grace)
-		if conn == nil {
-			return false
-		}
-		if isIdle {
-			conn.Close()
-			return true
-		}
-	}
-	return false
-}
-
-// popIdleClient removes and returns the first connection of a list, or returns nil if the list is empty or its first
-// entry has not been listed for the grace period. If the connection has no unread data, isIdle is true and the
-// connection is marked as evicted, so that nothing is read from it any more.
-func (s *Sockets) popIdleClient(from *list.List, grace time.Duration) (conn *trackedConn, isIdle bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	first := from.Front()
-	if first == nil {
-		return nil, false
-	}
-	conn = first.Value.(*trackedConn)
-	if time.Since(conn.listedAt) < grace {
-		return nil, false
-	}
-	conn.removeFromList()
-	// Read holds the same lock, so it either reads the bytes before this check or sees the mark after it.
-	conn.evicted = hasNoUnreadData(conn.Conn)
-	return conn, conn.evicted
-}
-
-// CloseIdleClients closes client connections that carry no request, except those active less than idleGrace ago. It may
-// miss some if maxBusySkipped connections in a row turn out not to be idle.
-func (s *Sockets) CloseIdleClients() {
-	for s.closeIdleClient(s.idleConns, idleGrace) || s.closeIdleClient(s.newConns, idleGrace) {
-	}
-}
-
 // ConnIdle records that a client connection carries no request: it is new and has not received one yet (isNew), or its
 // last request was answered. It must be called by the goroutine that serves the connection, or by the accepting
 // goroutine before that one starts.
