Reject the oldest incomplete request when no socket is left for a new client

Cause: sockets.go closeOneIdle had nothing that it may close if clients' sockets are all held by incomplete requests, so listener.go Accept waited until requestbody.go timed them out, 2.8 s after their connection. Ruled out: open requests, a slow process.

Change: as the last choice, the request that has been incomplete for longest, and for at least 150 ms, is answered 503 and its connection closed. It works because the answer is a final one even if the last byte crosses it, no backend has seen the request, and each new connection needs one socket only. Heads that stop on a connection that was served before take the same way. The constant time.Unix(1, 0) of writer.go stood twice; one is left, and the list of wall clock uses follows.

--- a/internal/assembly/metrics.go
+++ b/internal/assembly/metrics.go
@@ -40,6 +40,7 @@
 	{"onyxgate_client_connections_idle", "client connections that carry no request", func(u httpwire.SocketUsage) float64 { return float64(u.IdleClients) }},
 	{"onyxgate_client_connections_receiving", "client connections on which a request has begun to arrive and is not complete", func(u httpwire.SocketUsage) float64 { return float64(u.ReceivingClients) }},
 	{"onyxgate_accept_blocked_seconds_total", "time for which new connections had to wait in the backlog for a socket", func(u httpwire.SocketUsage) float64 { return u.AcceptBlocked.Seconds() }},
+	{"onyxgate_incomplete_requests_rejected_total", "requests rejected before they were complete, to make room for others", func(u httpwire.SocketUsage) float64 { return float64(u.IncompleteRejected) }},
 }
 
 var releaseMetrics = []metric[core.Counts]{
--- a/internal/assembly/report.go
+++ b/internal/assembly/report.go
@@ -55,6 +55,7 @@
 		"attempts_open": n.OpenAttempts, "attempts_ended": fmt.Sprint(n.AttemptsByStatus[policy.StatusServed:]), "attempts_withheld": n.AttemptsWithheld,
 		"sockets": sockets.Open, "client_connections": sockets.Clients, "client_connections_idle": sockets.IdleClients,
 		"client_connections_receiving": sockets.ReceivingClients, "accept_blocked_ms": sockets.AcceptBlocked.Milliseconds(),
+		"incomplete_rejected":        sockets.IncompleteRejected,
 		"backend_connections_opened": opened, "backend_connections_idle": idle, "attempts_without_socket": withoutSocket,
 		"list_version": version, "backends": listed,
 		"timers": n.Timers, "invariant_violations": invariant.Violations(),
--- a/internal/ci/clock_test.go
+++ b/internal/ci/clock_test.go
@@ -15,17 +15,16 @@
 
 // allowedWallClockUses lists the permitted uses, as "FILE: part of the line", with the reason.
 var allowedWallClockUses = map[string]string{
-	"internal/core/clock.go: return time.Now().UnixNano()":          "the epoch of Core.Now, and the detection of steps against the monotonic clock",
-	"internal/httpwire/conn.go: expiredDeadline = time.Unix(1, 0)":  "a deadline far in the past by any clock",
-	"internal/httpwire/writer.go: SetReadDeadline(time.Unix(1, 0))": "the same",
-	"internal/sources/dns/transport.go: time.Unix(1, 0)":            "the same",
-	"internal/record/sqlstore/schema.go: time.Now().UnixMilli()":    "a stored time that only people read",
-	"internal/record/recorder/ship.go: uint64(from.UnixNano())":     "a seed",
-	"cmd/onyxgate/record.go: Add(-span).UnixMilli()":                "times entered and read by operators",
-	"cmd/onyxgate/record.go: at.UnixNano()":                         "the same",
-	"cmd/onyxgate/record_write.go: time.UnixMilli(":                 "the same",
-	"cmd/onyxgate/sources_show.go: UnixMilli":                       "a time read by operators",
-	"cmd/onyxgate/sources_resolve.go: UnixNano":                     "a seed",
+	"internal/core/clock.go: return time.Now().UnixNano()":         "the epoch of Core.Now, and the detection of steps against the monotonic clock",
+	"internal/httpwire/conn.go: expiredDeadline = time.Unix(1, 0)": "a deadline far in the past by any clock",
+	"internal/sources/dns/transport.go: time.Unix(1, 0)":           "the same",
+	"internal/record/sqlstore/schema.go: time.Now().UnixMilli()":   "a stored time that only people read",
+	"internal/record/recorder/ship.go: uint64(from.UnixNano())":    "a seed",
+	"cmd/onyxgate/record.go: Add(-span).UnixMilli()":               "times entered and read by operators",
+	"cmd/onyxgate/record.go: at.UnixNano()":                        "the same",
+	"cmd/onyxgate/record_write.go: time.UnixMilli(":                "the same",
+	"cmd/onyxgate/sources_show.go: UnixMilli":                      "a time read by operators",
+	"cmd/onyxgate/sources_resolve.go: UnixNano":                    "a seed",
 }
 
 // Durations are measured with the monotonic clock: program code may read the wall clock as a number only for the uses
--- a/internal/httpwire/eviction.go
+++ b/internal/httpwire/eviction.go
@@ -19,6 +19,11 @@
 	// lost if the connection is closed. After that time, the connection may be one of hundreds that never carry a request.
 	newConnGrace = time.Second
 
+	// incompleteGrace is how long an incomplete request is protected from being rejected to make room. With a shorter
+	// grace period, clients that send a request in a few pieces would be rejected. With a longer one, requests whose
+	// connections wait in the backlog would run out of time: clients with little time left wait for about 250 ms.
+	incompleteGrace = 150 * time.Millisecond
+
 	// maxBusySkipped limits how many connections closeIdleClient skips because they turn out not to be idle.
 	maxBusySkipped = 8
 
@@ -46,7 +51,7 @@
 }
 
 // makeRoom prepares for one more connection, of a client or to a backend, and reports whether there is room for it. It
-// closes at most one idle connection: if there is no room, or if the connection is a client's and clients hold at least
+// frees at most one socket: if there is no room, or if the connection is a client's and clients hold at least
 // clientShare. It reserves nothing: track counts the connection once it is established.
 func (s *Sockets) makeRoom(isClient bool) bool {
 	before := s.occupancy(isClient)
@@ -54,7 +59,7 @@
 	if !shouldFree {
 		return true
 	}
-	s.closeOneIdle(before)
+	s.freeOne(before)
 	after := s.occupancy(isClient)
 	if after.full {
 		s.logShortage()
@@ -62,7 +67,7 @@
 	return after.hasRoom
 }
 
-// closeOneIdle closes at most one idle connection, trying the ones that are least likely to be needed first:
+// freeOne frees at most one socket, trying the connections that are least likely to be needed first:
 //
 //  1. a client connection without a request that was accepted at least newConnGrace ago
 //  2. a client connection between requests, if clients hold at least clientShare
@@ -72,7 +77,9 @@
 //  3. a backend connection, if the budget is full
 //  4. a client connection between requests
 //  5. a client connection that was accepted at least idleGrace ago: its client may be about to send a request
-func (s *Sockets) closeOneIdle(o occupancy) {
+//  6. a client connection whose request has been incomplete for at least incompleteGrace: the request is rejected, and
+//     its connection closed soon afterwards
+func (s *Sockets) freeOne(o occupancy) {
 	if s.closeIdleClient(s.newConns, newConnGrace) {
 		return
 	}
@@ -88,7 +95,10 @@
 	if s.closeIdleClient(s.idleConns, idleGrace) {
 		return
 	}
-	s.closeIdleClient(s.newConns, idleGrace)
+	if s.closeIdleClient(s.newConns, idleGrace) {
+		return
+	}
+	s.rejectIncomplete(incompleteGrace)
 }
 
 // closeIdleClient closes the first connection of a list, which is its oldest entry, if it has been listed for at least
--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,10 @@
 		return
 	}
 	body, err := f.readBody(w, r, parsed.bodyBytes, arrivedAt+parsed.timeLeft)
+	if errors.Is(err, errNoRoom) {
+		writeUnread(w, err)
+		return
+	}
 	if err != nil {
 		f.writeInvalidRequest(w, err)
 		return
--- /dev/null
+++ b/internal/httpwire/incomplete.go
@@ -0,0 +1,91 @@
+package httpwire
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Requests that do not arrive completely: rejecting them when their sockets are needed for other clients.
+//
+// A close without an answer could cross the last byte of the request, which would then be lost. Therefore such a request
+// always gets an answer: from its handler if its head is complete, and from trackedConn.Read otherwise, because net/http
+// closes a connection without an answer if a head does not arrive.
+
+// rejectedText is the body of the response to a request that was not sent to a backend.
+const rejectedText = "declined: trying again is harmless"
+
+// headAnswerTimeout limits writing the answer to an incomplete head. The answer fits into the socket's buffer.
+const headAnswerTimeout = time.Second
+
+// rejectIncomplete rejects the request that has been incomplete for longest, if for at least the grace period, and
+// reports whether there was one. The goroutine that reads the request is interrupted, answers it with 503 and closes the
+// connection.
+func (s *Sockets) rejectIncomplete(grace time.Duration) (rejected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range maxBusySkipped {
+		first := s.receivingConns.Front()
+		if first == nil {
+			return false
+		}
+		conn := first.Value.(*trackedConn)
+		if time.Since(conn.listedAt) < grace {
+			return false
+		}
+		conn.removeFromList()
+		if hasNoUnreadData(conn.Conn) {
+			conn.reject()
+			s.incompleteRejected++
+			return true
+		}
+		conn.addTo(s.receivingConns) // more of the request has arrived, perhaps all of it
+	}
+	return false
+}
+
+// reject makes all reads fail from now on, including one in progress. sockets.mu must be held.
+func (c *trackedConn) reject() {
+	c.rejected = true
+	_ = c.Conn.SetReadDeadline(expiredDeadline) // fails only on a closed connection, whose reads have ended
+}
+
+// Rejected reports whether the request that is arriving on the connection was rejected to make room. The connection may
+// be nil.
+func (s *Sockets) Rejected(c *trackedConn) bool {
+	if c == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.rejected
+}
+
+// HeadRead records that the head of a request has been read completely. The connection may be nil.
+func (s *Sockets) HeadRead(c *trackedConn) {
+	if c == nil {
+		return
+	}
+	c.firstHeadRead = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.headIncomplete = false
+}
+
+// answerIncompleteHead answers a request that was rejected while its head was arriving, and closes the connection. It
+// must be called by the goroutine that reads the head: at that time nothing else is written to the connection. The close
+// also keeps net/http from answering a second time, as it does if the head breaks off within a line.
+func (c *trackedConn) answerIncompleteHead() {
+	c.sockets.mu.Lock()
+	isDue := c.headIncomplete && c.rejected
+	c.headIncomplete = false
+	c.sockets.mu.Unlock()
+	if !isDue {
+		return
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(headAnswerTimeout))
+	// If the write fails, the client has closed the connection.
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), len(rejectedText), rejectedText)
+	c.Close()
+}
--- a/internal/httpwire/requestbody.go
+++ b/internal/httpwire/requestbody.go
@@ -7,8 +7,8 @@
 )
 
 // readBody reads the whole body of a request before the request is passed to the core. The client's timeout, which ends
-// at deadline (ms of the core's clock), runs meanwhile. The only error is errIncompleteBody: the body did not arrive
-// completely or in time.
+// at deadline (ms of the core's clock), runs meanwhile. The error is errIncompleteBody if the body did not arrive
+// completely or in time, and errNoRoom if the request was rejected meanwhile to make room for others.
 func (f *Front) readBody(w http.ResponseWriter, r *http.Request, length int64, deadline float64) ([]byte, error) {
 	body := make([]byte, length)
 	if length == 0 {
@@ -20,6 +20,9 @@
 	// fails too.
 	_ = controller.SetReadDeadline(time.Now().Add(f.bodyTimeout(conn, deadline)))
 	if _, err := io.ReadFull(r.Body, body); err != nil {
+		if f.sockets.Rejected(conn) {
+			return nil, errNoRoom
+		}
 		return nil, errIncompleteBody
 	}
 	_ = controller.SetReadDeadline(time.Time{}) // likewise: writing the response fails then
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -66,9 +66,7 @@
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	conn := connOf(r)
-	if conn != nil {
-		conn.firstHeadRead = true
-	}
+	f.sockets.HeadRead(conn)
 	// The client's timeout runs from the first byte of the request, and a head may arrive in pieces.
 	age := f.sockets.RequestAge(conn)
 	if r.ContentLength == 0 {
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -26,13 +26,13 @@
 	maxClientShare = 0.8
 )
 
-// Sockets is the budget of open connections that clients and backends share. It counts them and closes idle ones when
-// the budget runs short. It never closes a connection whose request is being handled, nor one that was served before and
-// on which the next request has begun to arrive. A new connection counts as idle until its first request head is
-// complete.
+// Sockets is the budget of open connections that clients and backends share. It counts them and frees some when the
+// budget runs short: it closes idle connections, and has requests rejected that do not arrive completely. It never closes
+// a connection whose request is being handled, nor one that was served before and on which the next request has begun to
+// arrive. A new connection counts as idle until its first request head is complete.
 //
-// Silent clients must not block others: a client whose connection waits in the listener's backlog may already have sent
-// a request.
+// Clients that are silent or stop in the middle of a request must not block others: a client whose connection waits in
+// the listener's backlog may already have sent a request.
 //
 // Its methods are safe for concurrent use.
 type Sockets struct {
@@ -52,6 +52,8 @@
 	shortageLoggedAt time.Time
 	acceptBlockedAt  time.Time     // since when accepting has been blocked; zero: it is not
 	acceptBlocked    time.Duration // total time for which accepting was blocked, up to acceptBlockedAt
+
+	incompleteRejected int64 // requests rejected because they were incomplete and their sockets were needed
 }
 
 // NewSockets returns a budget for a process that may open limit descriptors; 0 means no limit.
@@ -75,6 +77,8 @@
 	IdleClients      int           // client connections that carry no request
 	ReceivingClients int           // client connections whose request is not complete, apart from the head of a first request
 	AcceptBlocked    time.Duration // total time for which new connections had to wait in the backlog for a socket
+	// IncompleteRejected is the number of requests that were rejected before they were complete, to make room for others.
+	IncompleteRejected int64
 }
 
 // Usage returns the current use of the budget.
@@ -84,7 +88,7 @@
 	usage := SocketUsage{
 		Open: s.used, Clients: s.clients,
 		IdleClients: s.idleConns.Len() + s.newConns.Len(), ReceivingClients: s.receivingConns.Len(),
-		AcceptBlocked: s.acceptBlocked,
+		AcceptBlocked: s.acceptBlocked, IncompleteRejected: s.incompleteRejected,
 	}
 	if !s.acceptBlockedAt.IsZero() {
 		usage.AcceptBlocked += time.Since(s.acceptBlockedAt)
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -29,6 +30,8 @@
 
 	closed          bool
 	evicted         bool          // found idle and about to be closed; no more bytes are read
+	rejected        bool          // its incomplete request is rejected to make room; no more bytes are read
+	headIncomplete  bool          // the head of the current request has begun to arrive and is not complete
 	betweenRequests bool          // no byte of the next request has been read
 	requestStart    time.Time     // when the first byte of the request was read; zero: not observed
 	inList          *list.List    // the list of Sockets that holds the connection; nil: none
@@ -56,7 +59,7 @@
 		return
 	}
 	if c.betweenRequests {
-		c.betweenRequests, c.requestStart = false, time.Now()
+		c.betweenRequests, c.headIncomplete, c.requestStart = false, true, time.Now()
 	}
 	if c.inList == c.sockets.idleConns {
 		c.removeFromList()
@@ -72,8 +75,18 @@
 		return c.Conn.Read(b)
 	}
 	if c.rawConn == nil {
-		return c.readPlain(b)
+		n, err = c.readPlain(b)
+	} else {
+		n, err = c.readRaw(b)
 	}
+	if err != nil {
+		c.answerIncompleteHead()
+	}
+	return n, err
+}
+
+// readRaw reads from a client's socket.
+func (c *trackedConn) readRaw(b []byte) (n int, err error) {
 	waitErr := c.rawConn.Read(func(fd uintptr) (done bool) {
 		n, err = c.readSocket(int(fd), b)
 		return !errors.Is(err, syscall.EAGAIN) // on EAGAIN, wait until the socket is readable
@@ -98,13 +111,17 @@
 	return n, err
 }
 
-// readSocket reads the bytes available on a client's socket without blocking. It fails if the connection was evicted.
+// readSocket reads the bytes available on a client's socket without blocking. It fails if the connection was evicted or
+// its request rejected.
 func (c *trackedConn) readSocket(fd int, b []byte) (n int, err error) {
 	c.sockets.mu.Lock()
 	defer c.sockets.mu.Unlock()
 	if c.evicted {
 		return 0, net.ErrClosed
 	}
+	if c.rejected {
+		return 0, os.ErrDeadlineExceeded
+	}
 	for {
 		n, err = syscall.Read(fd, b)
 		if !errors.Is(err, syscall.EINTR) {
@@ -116,12 +133,21 @@
 }
 
 // SetReadDeadline allows less time for the head of the first request on a client connection than the server sets: the
-// protocol requires that connections of bad clients are closed soon. A client that has been served counts as good.
+// protocol requires that connections of bad clients are closed soon. A client that has been served counts as good. Once
+// the connection's request is rejected, reads fail whatever the deadline.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
-	isFirstHead := c.isClient && !c.servedBefore && !c.firstHeadRead
+	if !c.isClient {
+		return c.Conn.SetReadDeadline(t)
+	}
+	isFirstHead := !c.servedBefore && !c.firstHeadRead
 	if latest := c.openedAt.Add(newConnHeadTimeout); isFirstHead && t.After(latest) {
 		t = latest
 	}
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	if c.rejected {
+		t = expiredDeadline
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
--- a/internal/httpwire/validate.go
+++ b/internal/httpwire/validate.go
@@ -47,7 +47,9 @@
 	errNoLength           = &validationError{status: http.StatusLengthRequired, text: "no length"}
 	errRequestBodyTooLong = &validationError{status: http.StatusRequestEntityTooLarge, text: "body too long"}
 	errIncompleteBody     = &validationError{status: http.StatusBadRequest, text: "body cut off"}
-	errDuplicateID        = &validationError{status: http.StatusBadRequest, text: "this id is held already"}
+	// errNoRoom rejects a valid head whose body did not arrive before its socket was needed.
+	errNoRoom      = &validationError{status: http.StatusServiceUnavailable, text: rejectedText}
+	errDuplicateID = &validationError{status: http.StatusBadRequest, text: "this id is held already"}
 )
 
 // requestParser validates the head of one request.
--- a/internal/httpwire/writer.go
+++ b/internal/httpwire/writer.go
@@ -49,7 +49,7 @@
 	if retryAfter > 0 {
 		r.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter/1000, 'f', 3, 64))
 	}
-	return r.writeStatus(http.StatusServiceUnavailable, "declined: trying again is harmless")
+	return r.writeStatus(http.StatusServiceUnavailable, rejectedText)
 }
 
 // writeFailed reports to the client that the outcome is unknown.
@@ -75,17 +75,22 @@
 	return !r.request.HasInterceptors() || http.NewResponseController(r.writer).Flush() == nil
 }
 
-// writeInvalidRequest responds to an invalid request and closes its connection. Nothing more is read from it: neither a
-// body, which may never arrive, nor any data after it.
+// writeInvalidRequest responds to an invalid request and closes its connection.
 func (f *Front) writeInvalidRequest(w http.ResponseWriter, err error) {
 	f.invalidRequests.Add(1)
+	writeUnread(w, err)
+}
+
+// writeUnread responds to a request that may not have been read completely, and closes its connection. Nothing more is
+// read from it: neither a body, which may never arrive, nor any data after it.
+func writeUnread(w http.ResponseWriter, err error) {
 	invalid := &validationError{status: http.StatusBadRequest, text: err.Error()}
 	errors.As(err, &invalid)
 	if invalid.allow != "" {
 		w.Header().Set("Allow", invalid.allow)
 	}
 	w.Header().Set("Connection", "close")
-	// A deadline in the past stops reading. An error means that the connection is already closed.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	// An error means that the connection is already closed.
+	_ = http.NewResponseController(w).SetReadDeadline(expiredDeadline)
 	http.Error(w, invalid.text, invalid.status)
 }
