Never close a connection as idle once a byte of its first request has been read

Cause: sockets.go kept a new connection among the idle ones until net/http reported the whole head, and popIdleClient finds nothing unread once the first piece is read.

Change: onRead moves a connection to those that are receiving a request at the first byte, whether or not it was served before. It works because from the first byte on the connection ends with an answer only.

Test: TestHalfHeadOnNewConnection. Without the fix all three parts fail with an unexpected end of file in place of an answer.

--- a/internal/httpwire/incomplete.go
+++ b/internal/httpwire/incomplete.go
@@ -44,6 +44,12 @@
 	return false
 }
 
+// RejectAllIncomplete rejects all requests that are incomplete. It may miss some on which bytes have just arrived.
+func (s *Sockets) RejectAllIncomplete() {
+	for s.rejectIncomplete(0) {
+	}
+}
+
 // reject makes all reads fail from now on, including one in progress. sockets.mu must be held.
 func (c *trackedConn) reject() {
 	c.rejected = true
--- a/internal/httpwire/incomplete_test.go
+++ b/internal/httpwire/incomplete_test.go
@@ -126,3 +126,70 @@
 		})
 	}
 }
+
+// A connection on which half of its first head has arrived is not closed as idle, neither to make room nor at shutdown: the
+// close could cross the rest of the request, which would be lost.
+func TestHalfHeadOnNewConnection(t *testing.T) {
+	half := strings.Index(validRequest, "Req-Id") // bytes of the first lines
+	t.Run("room is needed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			instance := newTestInstance(network{"app:1": answerOnce("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")},
+				NewSockets(reservedSockets+10))
+			server := instance.serve()
+			client := server.dial()
+			defer client.Close()
+			send(client, validRequest[:half])
+			for range instance.front.sockets.ClientLimit() + 1 { // the last one needs the socket of another
+				silent := server.dial()
+				defer silent.Close()
+			}
+			time.Sleep(newConnGrace)
+			go send(client, validRequest[half:]) // ends when it is read
+			if answer, _, err := readAnswer(client.in); err != nil || answer.StatusCode != 200 {
+				t.Errorf("answer = %v, %v; want status 200", answer, err)
+			}
+			server.close()
+			instance.close()
+		})
+	})
+	t.Run("only half heads", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			instance := newTestInstance(network{}, NewSockets(reservedSockets+10))
+			server := instance.serve()
+			client := server.dial()
+			send(client, validRequest[:half])
+			for range instance.front.sockets.ClientLimit() {
+				other := server.dial()
+				defer other.Close()
+				go send(other, validRequest[:half]) // ends when it is read
+			}
+			if answer, _, err := readAnswer(client.in); err != nil || answer.StatusCode != 503 || !answer.Close {
+				t.Errorf("answer = %v, %v; want status 503 and a close", answer, err)
+			}
+			server.close()
+			instance.close()
+		})
+	})
+	t.Run("shutdown", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			instance := newTestInstance(network{}, NewSockets(0))
+			server := instance.serve()
+			silent := server.dial() // keeps the front from ending at once
+			defer silent.Close()
+			ended := make(chan bool)
+			go func() { // ends with Shutdown
+				instance.front.Shutdown(t.Context(), make(pipeListener))
+				close(ended)
+			}()
+			time.Sleep(instance.front.killDelay - newConnHeadTimeout + answerBeforeKill)
+			client := server.dial()
+			send(client, validRequest[:half])
+			if answer, _, err := readAnswer(client.in); err != nil || answer.StatusCode != 503 || !answer.Close {
+				t.Errorf("answer = %v, %v; want status 503 and a close", answer, err)
+			}
+			<-ended
+			server.close()
+			instance.close()
+		})
+	})
+}
--- a/internal/httpwire/shutdown.go
+++ b/internal/httpwire/shutdown.go
@@ -39,13 +39,21 @@
 	// before the kill, because a close could cross the last byte of the request.
 	f.closingConns.Store(true)
 	listener.Close()
-	poll(ctx, func() bool {
-		if time.Since(signaledAt) >= f.killDelay-exitBeforeKill {
-			return true
-		}
-		f.sockets.CloseIdleClients()
-		return f.clientConns() == 0
-	})
+	poll(ctx, func() bool { return f.disconnected(time.Since(signaledAt)) })
+}
+
+// disconnected closes connections that carry no request, and reports whether no client is connected any more or the
+// remaining ones have to be abandoned, at the given time since the signal. From answerBeforeKill before the kill on, it
+// rejects the requests that are still incomplete.
+func (f *Front) disconnected(sinceSignal time.Duration) bool {
+	if sinceSignal >= f.killDelay-exitBeforeKill {
+		return true
+	}
+	f.sockets.CloseIdleClients()
+	if sinceSignal >= f.killDelay-answerBeforeKill {
+		f.sockets.RejectAllIncomplete()
+	}
+	return f.clientConns() == 0
 }
 
 // drained reports whether no request is open and no more are expected, at the given time since the signal. When less than
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -28,8 +28,8 @@
 
 // Sockets is the budget of open connections that clients and backends share. It counts them and frees some when the
 // budget runs short: it closes idle connections, and has requests rejected that do not arrive completely. It never closes
-// a connection whose request is being handled, nor one that was served before and on which the next request has begun to
-// arrive. A new connection counts as idle until its first request head is complete.
+// a connection whose request is being handled or has begun to arrive. A new connection counts as idle until its first byte
+// is read.
 //
 // Clients that are silent or stop in the middle of a request must not block others: a client whose connection waits in
 // the listener's backlog may already have sent a request.
@@ -46,9 +46,9 @@
 	mu               sync.Mutex
 	used             int        // open connections
 	clients          int        // open client connections
-	newConns         *list.List // of *trackedConn: clients without a complete request head so far, oldest entry first
+	newConns         *list.List // of *trackedConn: clients that have not sent a byte yet, oldest entry first
 	idleConns        *list.List // of *trackedConn: clients between two requests, oldest entry first
-	receivingConns   *list.List // of *trackedConn: clients whose request, apart from a first head, has begun to arrive
+	receivingConns   *list.List // of *trackedConn: clients whose request has begun to arrive, oldest entry first
 	shortageLoggedAt time.Time
 	acceptBlockedAt  time.Time     // since when accepting has been blocked; zero: it is not
 	acceptBlocked    time.Duration // total time for which accepting was blocked, up to acceptBlockedAt
@@ -75,7 +75,7 @@
 	Open             int           // all connections
 	Clients          int           // connections of clients
 	IdleClients      int           // client connections that carry no request
-	ReceivingClients int           // client connections whose request is not complete, apart from the head of a first request
+	ReceivingClients int           // client connections on which a request has begun to arrive and is not complete
 	AcceptBlocked    time.Duration // total time for which new connections had to wait in the backlog for a socket
 	// IncompleteRejected is the number of requests that were rejected before they were complete, to make room for others.
 	IncompleteRejected int64
@@ -158,12 +158,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.inList == s.receivingConns {
-		return
-	}
-	c.removeFromList()
-	if isReceiving := !c.betweenRequests && !c.closed; isReceiving {
-		c.addTo(s.receivingConns)
+	if c.inList != s.receivingConns {
+		c.removeFromList()
 	}
 }
 
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -61,13 +61,13 @@
 	if c.betweenRequests {
 		c.betweenRequests, c.headIncomplete, c.requestStart = false, true, time.Now()
 	}
-	if c.inList == c.sockets.idleConns {
+	if c.element != nil && c.inList != c.sockets.receivingConns {
 		c.removeFromList()
 		c.addTo(c.sockets.receivingConns)
 	}
 }
 
-// Read removes a client connection from idleConns when the next request begins to arrive. From then on the connection
+// Read ends the idle state of a client connection when a request begins to arrive. From then on the connection
 // must not be closed to make room: the request could be complete before the close arrives, and would be lost. Therefore
 // bytes are read from a client's socket under the same lock under which the connection is found idle and evicted.
 func (c *trackedConn) Read(b []byte) (n int, err error) {
