Answer a request head that does not arrive in time before closing its connection

Callers would see: a close without an answer if the last byte of a slow head crosses the time-out, so a request that was written whole is lost.

Cause: net/http closes the connection without an answer when a head times out (conn.serve, isCommonNetReadError), or answers 400 if the head breaks off within a line, because bufio.ReadLine returns the part of the line without the error.

Change: trackedConn.Read answers 408 and closes the connection when the head of a begun request times out. It works because that goroutine is the only one that writes to the connection while a head is read.

Test: TestLateHeadIsAnswered, four cases; without the fix two fail with an unexpected end of file and two with status 400.

--- a/internal/httpwire/incomplete.go
+++ b/internal/httpwire/incomplete.go
@@ -1,12 +1,15 @@
 package httpwire
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 )
 
-// Requests that do not arrive completely: rejecting them when their sockets are needed for other clients.
+// Requests that do not arrive completely: their answers, and rejecting them when their sockets are needed for other
+// clients.
 //
 // A close without an answer could cross the last byte of the request, which would then be lost. Therefore such a request
 // always gets an answer: from its handler if its head is complete, and from trackedConn.Read otherwise, because net/http
@@ -15,6 +18,9 @@
 // rejectedText is the body of the response to a request that was not sent to a backend.
 const rejectedText = "declined: trying again is harmless"
 
+// incompleteHeadText is the body of the response to a request whose head did not arrive in time.
+const incompleteHeadText = "head cut off"
+
 // headAnswerTimeout limits writing the answer to an incomplete head. The answer fits into the socket's buffer.
 const headAnswerTimeout = time.Second
 
@@ -78,20 +84,26 @@
 	c.headIncomplete = false
 }
 
-// answerIncompleteHead answers a request that was rejected while its head was arriving, and closes the connection. It
-// must be called by the goroutine that reads the head: at that time nothing else is written to the connection. The close
-// also keeps net/http from answering a second time, as it does if the head breaks off within a line.
-func (c *trackedConn) answerIncompleteHead() {
+// answerIncompleteHead answers a request whose head can't be read any further because of err, and closes the connection:
+// with 503 if it was rejected, and with 408 if it took too long. After any other error there is nobody to answer. It must
+// be called by the goroutine that reads the head: at that time nothing else is written to the connection. The close also
+// keeps net/http from answering a second time, as it does if the head breaks off within a line.
+func (c *trackedConn) answerIncompleteHead(err error) {
 	c.sockets.mu.Lock()
-	isDue := c.headIncomplete && c.rejected
+	wasIncomplete, rejected := c.headIncomplete, c.rejected
 	c.headIncomplete = false
 	c.sockets.mu.Unlock()
-	if !isDue {
+	isLate := errors.Is(err, os.ErrDeadlineExceeded)
+	if !wasIncomplete || !rejected && !isLate {
 		return
 	}
+	status, text := http.StatusRequestTimeout, incompleteHeadText
+	if rejected {
+		status, text = http.StatusServiceUnavailable, rejectedText
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(headAnswerTimeout))
 	// If the write fails, the client has closed the connection.
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), len(rejectedText), rejectedText)
+		status, http.StatusText(status), len(text), text)
 	c.Close()
 }
--- a/internal/httpwire/incomplete_test.go
+++ b/internal/httpwire/incomplete_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -193,3 +195,42 @@
 		})
 	})
 }
+
+// A head that does not arrive in time is answered before its connection is closed: the close could cross the rest of the
+// request, which would be lost.
+func TestLateHeadIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before string // request served on the connection before
+		after  time.Duration
+	}{
+		{"new connection", "", newConnHeadTimeout},
+		{"served before", requestWithID("first"), readTimeout},
+	} {
+		for _, cut := range []int{strings.Index(validRequest, "Req-Id"), strings.Index(validRequest, "-Id")} {
+			t.Run(fmt.Sprintf("%s, %d bytes", c.name, cut), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					instance := newTestInstance(network{"app:1": answerOnce("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")},
+						NewSockets(0))
+					server := instance.serve()
+					client := server.dial()
+					if c.before != "" {
+						send(client, c.before)
+						client.readResponse(t)
+					}
+					from := time.Now()
+					send(client, validRequest[:cut])
+					answer, _, err := readAnswer(client.in)
+					if took := time.Since(from); err != nil || answer.StatusCode != http.StatusRequestTimeout || !answer.Close || took > c.after {
+						t.Errorf("answer = %v, %v after %v; want status 408 and a close within %v", answer, err, took, c.after)
+					}
+					if rest, err := io.ReadAll(client.in); len(rest) > 0 || err != nil {
+						t.Errorf("after the answer: %q, %v; want the end of the connection", rest, err)
+					}
+					server.close()
+					instance.close()
+				})
+			})
+		}
+	}
+}
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -80,7 +80,7 @@
 		n, err = c.readRaw(b)
 	}
 	if err != nil {
-		c.answerIncompleteHead()
+		c.answerIncompleteHead(err)
 	}
 	return n, err
 }
