Count the time that a request waits unread as its client's time

Callers saw: requests that had waited in the listener's backlog were handled as new.

Cause: sockets.go RequestAge counts from the read of the first byte; trackedconn.go onRead set it to the current time. Ruled out: kept connections, whose requests are read as they arrive.

Change: the request begins when its bytes arrived at the machine, which TCP_INFO reports as the time since the last data (golang.org/x/sys, which was an indirect dependency). The limits of new connections count from connecting likewise, so bad clients get their error 3 s after connecting also if they waited.

--- a/internal/httpwire/listener.go
+++ b/internal/httpwire/listener.go
@@ -11,7 +11,8 @@
 const acceptRetry = time.Millisecond
 
 // Listener accepts client connections while the socket budget has room. Otherwise new connections stay in the backlog
-// until idle connections are closed, which takes at most idleGrace if there are any.
+// until idle connections are closed, which takes at most idleGrace if there are any, or an incomplete request is rejected.
+// The wait in the backlog is part of the time that the clients allow for their requests.
 type Listener struct {
 	net.Listener
 	Sockets *Sockets
@@ -27,9 +28,10 @@
 			continue
 		}
 		l.Sockets.unblockAccept()
+		from := time.Now()
 		conn, err := l.Listener.Accept()
 		if err == nil {
-			return l.Sockets.track(conn, true), nil
+			return l.Sockets.trackAccepted(conn, time.Since(from)), nil
 		}
 		// If the process has no free descriptor, the connection waits in the backlog until there is one.
 		noDescriptor := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
--- a/internal/httpwire/requestbody.go
+++ b/internal/httpwire/requestbody.go
@@ -30,11 +30,11 @@
 	return body, nil
 }
 
-// bodyTimeout returns the time that is left for reading a body.
+// bodyTimeout returns the time that is left for reading a body, at least minReadTime.
 func (f *Front) bodyTimeout(conn *trackedConn, deadline float64) time.Duration {
 	timeout := min(fromMilliseconds(deadline-f.core.Now()), readTimeout)
 	if conn != nil && !conn.servedBefore {
-		timeout = min(timeout, newConnRequestTimeout-time.Since(conn.openedAt))
+		timeout = min(timeout, time.Until(conn.firstRequestDeadline(newConnRequestTimeout)))
 	}
-	return timeout
+	return max(timeout, minReadTime)
 }
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -19,11 +19,14 @@
 	// readTimeout limits reading a request head, from its first byte, on a connection that was served before. It is also
 	// the upper limit for reading a body.
 	readTimeout = 5 * time.Second
-	// The protocol requires that a bad client gets an error or a close within 3 s of connecting, and the connection may
-	// have spent part of that in the backlog. Slow clients send their requests in pieces and may use all of that time.
-	// A connection on which a request was answered counts as good, and readTimeout applies.
-	newConnHeadTimeout    = 2500 * time.Millisecond // head of the first request, since the connection was accepted
-	newConnRequestTimeout = 2800 * time.Millisecond // whole first request, since the connection was accepted
+	// The protocol requires that a bad client gets an error or a close within 3 s of connecting. Slow clients send their
+	// requests in pieces and may use all of that time. A connection on which a request was answered counts as good, and
+	// readTimeout applies.
+	newConnHeadTimeout    = 2500 * time.Millisecond // head of the first request, since the client connected
+	newConnRequestTimeout = 2800 * time.Millisecond // whole first request, since the client connected
+	// minReadTime is left for reading a request even if its client's time, or one of the limits above, is over: a request
+	// that arrived in time may have waited unread, and is lost if its connection is closed.
+	minReadTime = 50 * time.Millisecond
 )
 
 const healthPath = "/up"
@@ -67,7 +70,7 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	conn := connOf(r)
 	f.sockets.HeadRead(conn)
-	// The client's timeout runs from the first byte of the request, and a head may arrive in pieces.
+	// The client's timeout runs from the arrival of the request's first byte, and a head may arrive in pieces.
 	age := f.sockets.RequestAge(conn)
 	if r.ContentLength == 0 {
 		f.sockets.RequestRead(conn)
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -40,6 +40,7 @@
 	// closeIdleBackend closes one idle connection to a backend and reports whether there was one. NewUpstream sets it
 	// before any connection is opened. It is called without mu held, because closing a tracked connection locks mu.
 	closeIdleBackend func() bool
+	sinceLastData    func(fd int) (since time.Duration, known bool) // the function of that name; tests replace it
 
 	// mu guards the fields below and the fields of trackedConn that are marked so. Only two callbacks run with mu held,
 	// both on a client's socket and without blocking: reading request bytes and checking for unread data.
@@ -52,6 +53,7 @@
 	shortageLoggedAt time.Time
 	acceptBlockedAt  time.Time     // since when accepting has been blocked; zero: it is not
 	acceptBlocked    time.Duration // total time for which accepting was blocked, up to acceptBlockedAt
+	backlogSince     time.Time     // no connection has been in the backlog for longer; zero: none has had to wait
 
 	incompleteRejected int64 // requests rejected because they were incomplete and their sockets were needed
 }
@@ -64,6 +66,7 @@
 	return &Sockets{
 		limit:            max(limit-reservedSockets, minSockets),
 		closeIdleBackend: func() bool { return false },
+		sinceLastData:    sinceLastData,
 		newConns:         list.New(),
 		idleConns:        list.New(),
 		receivingConns:   list.New(),
@@ -96,26 +99,6 @@
 	return usage
 }
 
-// blockAccept records that a new connection has to wait in the backlog.
-func (s *Sockets) blockAccept() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.acceptBlockedAt.IsZero() {
-		s.acceptBlockedAt = time.Now()
-	}
-}
-
-// unblockAccept records that new connections can be accepted again.
-func (s *Sockets) unblockAccept() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.acceptBlockedAt.IsZero() {
-		return
-	}
-	s.acceptBlocked += time.Since(s.acceptBlockedAt)
-	s.acceptBlockedAt = time.Time{}
-}
-
 // ClientLimit returns the maximum number of client connections.
 func (s *Sockets) ClientLimit() int { return int(maxClientShare * float64(s.limit)) }
 
@@ -193,11 +176,12 @@
 
 // track counts a connection against the budget until it is closed.
 func (s *Sockets) track(conn net.Conn, isClient bool) *trackedConn {
-	c := &trackedConn{Conn: conn, sockets: s, isClient: isClient, betweenRequests: true, openedAt: time.Now()}
+	c := &trackedConn{Conn: conn, sockets: s, isClient: isClient, betweenRequests: true, acceptedAt: time.Now()}
 	if socket, ok := conn.(syscall.Conn); ok && isClient {
 		// Without a raw connection, Read falls back to the Read method of conn.
 		c.rawConn, _ = socket.SyscallConn()
 	}
+	c.connectedAt = c.acceptedAt
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.used++
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -16,10 +16,11 @@
 // the requests on it: whether the connection may be closed to make room, and when the current request began to arrive.
 type trackedConn struct {
 	net.Conn
-	sockets  *Sockets
-	isClient bool
-	rawConn  syscall.RawConn // of a client connection; nil if it is not a socket
-	openedAt time.Time
+	sockets     *Sockets
+	isClient    bool
+	rawConn     syscall.RawConn // of a client connection; nil if it is not a socket
+	acceptedAt  time.Time
+	connectedAt time.Time // of a client connection: earlier than acceptedAt if it waited in the backlog
 
 	// servedBefore is set once a request has been answered on the connection, firstHeadRead once the head of the first
 	// request has been read. Only the goroutine that serves the connection accesses them.
@@ -33,7 +34,8 @@
 	rejected        bool          // its incomplete request is rejected to make room; no more bytes are read
 	headIncomplete  bool          // the head of the current request has begun to arrive and is not complete
 	betweenRequests bool          // no byte of the next request has been read
-	requestStart    time.Time     // when the first byte of the request was read; zero: not observed
+	requestStart    time.Time     // when the first byte of the request arrived; zero: not observed
+	maxBacklogWait  time.Duration // upper limit of the time that bytes of the first request have spent in the backlog
 	inList          *list.List    // the list of Sockets that holds the connection; nil: none
 	element         *list.Element // the connection's entry in inList; nil: not listed
 	listedAt        time.Time
@@ -53,13 +55,15 @@
 	}
 }
 
-// onRead records that n bytes of a client's request were read. sockets.mu must be held.
-func (c *trackedConn) onRead(n int) {
+// onRead records that n bytes of a client's request were read, which had been waiting for the given time. sockets.mu must
+// be held.
+func (c *trackedConn) onRead(n int, waited time.Duration) {
 	if n <= 0 {
 		return
 	}
 	if c.betweenRequests {
-		c.betweenRequests, c.headIncomplete, c.requestStart = false, true, time.Now()
+		c.betweenRequests, c.headIncomplete, c.requestStart = false, true, time.Now().Add(-waited)
+		c.maxBacklogWait = 0
 	}
 	if c.element != nil && c.inList != c.sockets.receivingConns {
 		c.removeFromList()
@@ -107,7 +111,7 @@
 	n, err := c.Conn.Read(b)
 	c.sockets.mu.Lock()
 	defer c.sockets.mu.Unlock()
-	c.onRead(n)
+	c.onRead(n, c.maxBacklogWait)
 	return n, err
 }
 
@@ -128,7 +132,14 @@
 			break
 		}
 	}
-	c.onRead(n)
+	if errors.Is(err, syscall.EAGAIN) {
+		c.maxBacklogWait = 0 // what arrives from now on has not been in the backlog
+	}
+	if startsRequest := n > 0 && c.betweenRequests; startsRequest {
+		c.onRead(n, c.unreadWait(fd))
+		return n, err
+	}
+	c.onRead(n, 0)
 	return n, err
 }
 
@@ -140,7 +151,7 @@
 		return c.Conn.SetReadDeadline(t)
 	}
 	isFirstHead := !c.servedBefore && !c.firstHeadRead
-	if latest := c.openedAt.Add(newConnHeadTimeout); isFirstHead && t.After(latest) {
+	if latest := c.firstRequestDeadline(newConnHeadTimeout); isFirstHead && t.After(latest) {
 		t = latest
 	}
 	c.sockets.mu.Lock()
@@ -151,6 +162,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// firstRequestDeadline returns the time that is limit after the client connected, but leaves minReadTime in any case.
+func (c *trackedConn) firstRequestDeadline(limit time.Duration) time.Time {
+	latest, earliest := c.connectedAt.Add(limit), c.acceptedAt.Add(minReadTime)
+	if latest.Before(earliest) {
+		return earliest
+	}
+	return latest
+}
+
 // Close closes the connection and returns its socket to the budget. Further calls do not change the budget.
 func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
--- /dev/null
+++ b/internal/httpwire/unread_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package httpwire
+
+import "time"
+
+// sinceLastData is not known on this system.
+func sinceLastData(int) (since time.Duration, known bool) { return 0, false }
