Check whether a client has left before its request is accepted

Cause: handler.go serveRequest relied on net/http, which notices the close in a goroutine of its own while the request is already handled. Ruled out as the only cause: the time that was counted wrongly; it is right here.

Change: hasLeft looks for the end of file with MSG_PEEK once the request is whole, before Core.Accept. The request is counted (client_left_early) and answered 503, which only a client that closed just its sending side reads. It works because a close that arrived before the request was read is seen by the check, and a later one by the server, within the time that a close may take.

--- a/internal/assembly/report.go
+++ b/internal/assembly/report.go
@@ -51,7 +51,7 @@
 	logrus.WithFields(logrus.Fields{
 		"cpu_ms":   cpuMs(),
 		"accepted": n.Accepted, "served": n.Served, "rejected": n.Rejected, "failed": n.Failed, "client_gone": n.ClientGone,
-		"invalid_requests": s.front.InvalidRequests(), "requests_open": n.OpenRequests,
+		"invalid_requests": s.front.InvalidRequests(), "client_left_early": s.front.ClientsLeft(), "requests_open": n.OpenRequests,
 		"attempts_open": n.OpenAttempts, "attempts_ended": fmt.Sprint(n.AttemptsByStatus[policy.StatusServed:]), "attempts_withheld": n.AttemptsWithheld,
 		"sockets": sockets.Open, "client_connections": sockets.Clients, "client_connections_idle": sockets.IdleClients,
 		"client_connections_receiving": sockets.ReceivingClients, "accept_blocked_ms": sockets.AcceptBlocked.Milliseconds(),
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -44,6 +44,7 @@
 	openRequests    atomic.Int64 // requests between the end of their head and the end of their response
 	bodyBytes       atomic.Int64 // total size of the bodies of open requests
 	invalidRequests atomic.Int64
+	clientsLeft     atomic.Int64 // requests whose client had left before they were handled
 	startedAt       time.Time
 	lastActivity    atomic.Int64  // when a request last began or ended (ns since startedAt: the wall clock may be stepped)
 	killDelay       time.Duration // minimum time from the shutdown signal until the process may be killed
@@ -79,6 +80,9 @@
 // InvalidRequests returns the number of requests rejected as invalid, with any status.
 func (f *Front) InvalidRequests() int64 { return f.invalidRequests.Load() }
 
+// ClientsLeft returns the number of requests that were not handled because their client had already closed its connection.
+func (f *Front) ClientsLeft() int64 { return f.clientsLeft.Load() }
+
 // beginRequest counts a request as open until the returned function is called.
 func (f *Front) beginRequest() (end func()) {
 	f.openRequests.Add(1)
--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -31,6 +31,11 @@
 		f.writeInvalidRequest(w, err)
 		return
 	}
+	if hasLeft(r) {
+		f.clientsLeft.Add(1)
+		writeUnread(w, errClientLeft)
+		return
+	}
 	openBodyBytes := f.bodyBytes.Add(int64(len(body)))
 	defer f.bodyBytes.Add(-int64(len(body)))
 
@@ -52,6 +57,17 @@
 	h.run(r.Context())
 }
 
+// hasLeft reports whether the client of a request that has been read completely has closed its connection. The server
+// detects a close too, but at the same time as the request is handled: a request that has waited unread could be sent to a
+// backend for a client that left long ago.
+func hasLeft(r *http.Request) bool {
+	if r.Context().Err() != nil {
+		return true
+	}
+	conn := connOf(r)
+	return conn != nil && peek(conn) == unreadEnd
+}
+
 // rejectReason returns the reason to reject a request that exceeds the front's limits, or "". The request's body already
 // counts in openBodyBytes.
 func (f *Front) rejectReason(id string, openBodyBytes int64) string {
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -189,27 +189,3 @@
 	invariant.Check(s.used >= 0 && s.clients >= 0, "a connection is closed once", s.used)
 	return err
 }
-
-// hasNoUnreadData reports whether nothing is waiting to be read on a connection, including its end of file. It does not
-// block. For a connection that is not a socket it can't know and returns true.
-func hasNoUnreadData(conn net.Conn) bool {
-	if tracked, ok := conn.(*trackedConn); ok {
-		conn = tracked.Conn
-	}
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isEmpty := false
-	// Control is used because Read would wait while a server's reader is blocked on this connection.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isEmpty = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && isEmpty
-}
--- a/internal/httpwire/validate.go
+++ b/internal/httpwire/validate.go
@@ -48,7 +48,10 @@
 	errRequestBodyTooLong = &validationError{status: http.StatusRequestEntityTooLarge, text: "body too long"}
 	errIncompleteBody     = &validationError{status: http.StatusBadRequest, text: "body cut off"}
 	// errNoRoom rejects a valid head whose body did not arrive before its socket was needed.
-	errNoRoom      = &validationError{status: http.StatusServiceUnavailable, text: rejectedText}
+	errNoRoom = &validationError{status: http.StatusServiceUnavailable, text: rejectedText}
+	// errClientLeft is for a client that has closed at least its sending side. It reads the response only if it has not
+	// closed the other side.
+	errClientLeft  = &validationError{status: http.StatusServiceUnavailable, text: rejectedText}
 	errDuplicateID = &validationError{status: http.StatusBadRequest, text: "this id is held already"}
 )
 
