Answer 502, not an empty 200, to a client that has closed only its sending side

Callers would see: a client that closes its sending side after the request and reads on gets status 200 with an empty body. Found while the check for clients that have left was written; not seen in service.

Cause: handler.go perform wrote nothing for ActionAbandon, and net/http completes a handler without a response with 200.

Change: ActionAbandon writes 502 and closes the connection, without telling the interceptors: the answer counts as not given. It works because 502 promises nothing, whether or not an attempt has run.

Test: TestClientThatOnlyStopsSending; without the fix: status 200, empty body, want 502.

--- a/internal/httpwire/clientleft_test.go
+++ b/internal/httpwire/clientleft_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"testing"
 )
 
@@ -43,3 +45,26 @@
 	server.Close()
 	<-ended
 }
+
+// A client that closes only its sending side counts as gone, but may still read: it must not get an empty response with
+// status 200, which no backend has made.
+func TestClientThatOnlyStopsSending(t *testing.T) {
+	backend := newFakeBackend(t)
+	l := newLoopback(t, backend.address(), dialTCP, true)
+	client := l.dialFront()
+	send(client, validRequest)
+	conn := <-backend.conns
+	defer conn.Close()
+	if _, _, err := conn.readRequest(); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if answer, body, err := readAnswer(client.in); err == nil && answer.StatusCode != http.StatusBadGateway {
+		t.Errorf("answer = %v %q, want status 502 or none", answer, body)
+	}
+	if n := l.core.Counts(); n.ClientGone != 1 {
+		t.Errorf("counts = %+v, want one client gone", n)
+	}
+}
--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -118,7 +118,8 @@
 	case core.ActionFail:
 		h.responseStarted = true
 		h.request.ResponseWritten(h.response.writeFailed())
-	case core.ActionAbandon: // no client waits for a response
+	case core.ActionAbandon:
+		h.response.writeAbandoned()
 	default:
 		return true
 	}
