Accept connections at once on start, and hold their requests until ready

Cause: run.go serve opened the front only after awaitReady; the listener had been open all the time, so requests waited unread for up to firstListWait, 1 s. Ruled out: the wrong time alone; read after its time, a request is late all the same.

Change: the front is served from the start. Requests are read and held until SetReady, at most as long as a queued request may wait (policy.QueueDeadline, the former method's formula), then rejected with reason 'starting'. It works because the time of a held request runs, and its client's close is noticed.

The comments of TestFirstRequest and TestEndsBeforeReady say held now in place of the backlog; what they check is unchanged.

--- a/internal/assembly/run.go
+++ b/internal/assembly/run.go
@@ -15,7 +15,7 @@
 )
 
 // firstListWait limits how long an instance waits at startup for discovery's endpoint list. Even the first
-// request should be routed by that list, so requests wait in the listener's backlog meanwhile. The wait is bounded
+// request should be routed by that list, so the front reads requests and holds them meanwhile. The wait is bounded
 // because discovery may be down.
 const firstListWait = time.Second
 
@@ -54,7 +54,9 @@
 		shuttingDown: make(chan bool),
 		shutDown:     make(chan bool),
 	}
+	s.front.HoldRequests()
 	go r.serve()
+	go s.awaitReady(r.shuttingDown)
 	return r.loop(signals)
 }
 
@@ -83,14 +85,14 @@
 	return done
 }
 
-// serve accepts client connections once the instance is ready.
+// serve accepts client connections. It begins at once: requests that wait unread in the listener's backlog can be neither
+// answered in time nor given up when their clients leave.
 func (r *run) serve() {
-	r.awaitReady(r.shuttingDown)
 	r.serveEnded <- r.front.Server().Serve(httpwire.Listener{Listener: r.listener, Sockets: r.sockets})
 }
 
-// awaitReady marks the instance ready when discovery's first endpoint list has arrived, when firstListWait has passed
-// without one, or when the shutdown has started.
+// awaitReady marks the instance ready, and ends the hold on requests, when discovery's first endpoint list has arrived,
+// when firstListWait has passed without one, or when the shutdown has started.
 func (s *Server) awaitReady(shuttingDown <-chan bool) {
 	wait := time.NewTimer(firstListWait)
 	defer wait.Stop()
--- a/internal/assembly/start_test.go
+++ b/internal/assembly/start_test.go
@@ -14,7 +14,7 @@
 
 // Events that coincide with the start or the shutdown of an instance.
 
-// A request that waits in the listener's backlog while the instance starts must be routed by discovery's endpoint list,
+// A request that arrives while the instance starts must be routed by discovery's endpoint list,
 // not by the possibly outdated list in the configuration.
 func TestFirstRequest(t *testing.T) {
 	outdated, current := newTestEnv(t), newTestEnv(t)
@@ -33,6 +33,20 @@
 	r.stop(t)
 }
 
+// An instance accepts connections while it waits for discovery, as after a restart in an outage: requests that wait unread
+// in the listener's backlog would be answered after their time.
+func TestAcceptsBeforeReady(t *testing.T) {
+	d := newTestEnv(t) // sends no list
+	r := start(t, configJSON(d.address(), d.endpointList(1), safeClass, singleAttempt))
+	<-d.watches
+	c := r.connect(t)
+	c.send(http.MethodGet, "/up", "r1")
+	if status, _ := c.readResponse(t); status != http.StatusServiceUnavailable {
+		t.Errorf("status of /up before the first list = %d, want 503", status)
+	}
+	r.stop(t)
+}
+
 // An instance becomes ready when discovery has sent its first list, after firstListWait if discovery stays silent, and
 // immediately when it is asked to shut down.
 func TestReady(t *testing.T) {
@@ -84,8 +98,7 @@
 	time.Sleep(time.Hour) // lets the core's timer expire
 }
 
-// On SIGTERM just before the instance is ready, requests in the listener's backlog are served before the instance
-// exits.
+// On SIGTERM just before the instance is ready, requests that are held are served before the instance exits.
 func TestEndsBeforeReady(t *testing.T) {
 	d := newTestEnv(t)
 	r := start(t, configJSON(d.address(), d.endpointList(1), safeClass, singleAttempt))
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -39,10 +40,11 @@
 	maxBodyBytes    int64 // total of all open requests
 
 	ready           atomic.Bool
-	shuttingDown    atomic.Bool  // no longer ready, but requests are served
-	closingConns    atomic.Bool  // connections are closed after their request
-	openRequests    atomic.Int64 // requests between the end of their head and the end of their response
-	bodyBytes       atomic.Int64 // total size of the bodies of open requests
+	started         chan struct{} // closed by SetReady; nil: requests are not held until then
+	shuttingDown    atomic.Bool   // no longer ready, but requests are served
+	closingConns    atomic.Bool   // connections are closed after their request
+	openRequests    atomic.Int64  // requests between the end of their head and the end of their response
+	bodyBytes       atomic.Int64  // total size of the bodies of open requests
 	invalidRequests atomic.Int64
 	clientsLeft     atomic.Int64 // requests whose client had left before they were handled
 	startedAt       time.Time
@@ -73,9 +75,35 @@
 	return f
 }
 
-// SetReady makes the health check /up succeed. The caller must wait until the endpoint list and the state of the release
-// are known and the core is running.
-func (f *Front) SetReady() { f.ready.Store(true) }
+// HoldRequests makes the front read requests, but not handle them, until SetReady is called. It must be called before
+// the front is served.
+func (f *Front) HoldRequests() { f.started = make(chan struct{}) }
+
+// SetReady makes the health check /up succeed and ends HoldRequests. The caller must wait until the endpoint list and the
+// state of the release are known and the core is running. It must be called only once.
+func (f *Front) SetReady() {
+	f.ready.Store(true)
+	if f.started != nil {
+		close(f.started)
+	}
+}
+
+// awaitStart waits until requests may be handled, and reports whether they may. It gives up when the context is done or at
+// latest (ms of the core's clock).
+func (f *Front) awaitStart(ctx context.Context, latest float64) bool {
+	if f.started == nil || f.ready.Load() {
+		return true
+	}
+	wait := time.NewTimer(fromMilliseconds(latest - f.core.Now()))
+	defer wait.Stop()
+	select {
+	case <-f.started:
+		return true
+	case <-ctx.Done():
+	case <-wait.C:
+	}
+	return false
+}
 
 // InvalidRequests returns the number of requests rejected as invalid, with any status.
 func (f *Front) InvalidRequests() int64 { return f.invalidRequests.Load() }
--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -11,8 +11,11 @@
 	"onyxgate/policy"
 )
 
-// rejectNoRoom is the reason for rejecting a request when the limit on open requests or on their bodies is exceeded.
-const rejectNoRoom = "room"
+// Reasons for rejecting a request that the decisions do not see.
+const (
+	rejectNoRoom   = "room"     // the limit on open requests or on their bodies is exceeded
+	rejectStarting = "starting" // the instance was not ready before the request had waited for too long
+)
 
 // serveRequest handles one request, whose first byte arrived at arrivedAt (ms of the core's clock), up to its response.
 func (f *Front) serveRequest(w http.ResponseWriter, r *http.Request, path string, arrivedAt float64) {
@@ -22,7 +25,8 @@
 		f.writeInvalidRequest(w, err)
 		return
 	}
-	body, err := f.readBody(w, r, parsed.bodyBytes, arrivedAt+parsed.timeLeft)
+	deadline := arrivedAt + parsed.timeLeft
+	body, err := f.readBody(w, r, parsed.bodyBytes, deadline)
 	if errors.Is(err, errNoRoom) {
 		writeUnread(w, err)
 		return
@@ -31,20 +35,23 @@
 		f.writeInvalidRequest(w, err)
 		return
 	}
+	openBodyBytes := f.bodyBytes.Add(int64(len(body)))
+	defer f.bodyBytes.Add(-int64(len(body)))
+	rejectReason := f.rejectReason(parsed.id, openBodyBytes)
+	if rejectReason == "" && !f.awaitStart(r.Context(), policy.QueueDeadline(arrivedAt, deadline)) {
+		rejectReason = rejectStarting
+	}
 	if hasLeft(r) {
 		f.clientsLeft.Add(1)
 		writeUnread(w, errClientLeft)
 		return
 	}
-	openBodyBytes := f.bodyBytes.Add(int64(len(body)))
-	defer f.bodyBytes.Add(-int64(len(body)))
 
 	head := requestHead(r, len(body))
 	send := func(attempt *core.Attempt) { f.upstream.SendAttempt(attempt, head, body) }
 	request := f.core.Accept(core.IncomingRequest{
 		ID: parsed.id, Key: parsed.key, IdempotencyKey: parsed.idempotencyKey, Class: parsed.class.index, Retry: parsed.retry,
-		ArrivedAt: arrivedAt, TimeLeft: parsed.timeLeft,
-		RejectReason: f.rejectReason(parsed.id, openBodyBytes), StartAttempt: send,
+		ArrivedAt: arrivedAt, TimeLeft: parsed.timeLeft, RejectReason: rejectReason, StartAttempt: send,
 	})
 	if request == nil {
 		f.writeInvalidRequest(w, errDuplicateID)
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -56,9 +56,13 @@
 	req.relativeWork, req.workDivisor = work/inst.meanWork, work
 }
 
-// queueDeadline returns the time until which a request may stay queued without having been sent.
+// QueueDeadline returns the time until which a request may wait without having been sent. All times are in ms.
+func QueueDeadline(arrivedAt, deadline float64) float64 {
+	return arrivedAt + maxQueueShare*(deadline-arrivedAt)
+}
+
 func (inst *Instance) queueDeadline(req *request) float64 {
-	return req.arrivedAt + maxQueueShare*(req.deadline-req.arrivedAt)
+	return QueueDeadline(req.arrivedAt, req.deadline)
 }
 
 // expectedLatency returns the expected latency of an attempt, in ms.
