Split the tests of incomplete requests and unread time into smaller functions

The linter's limit on cognitive complexity was exceeded in three tests, and one of them replaced a function of the socket budget after the server had started, which the race detector reported (in the test, not in the program).

--- a/internal/httpwire/backlog_test.go
+++ b/internal/httpwire/backlog_test.go
@@ -11,51 +11,58 @@
 // The time that a request has waited unread, as in the listener's backlog, is part of its client's time: the backend is told
 // what is left, and a request whose time is over is rejected and not sent.
 func TestUnreadTimeIsClientsTime(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		waited time.Duration // as reported by the kernel
-		text   string
-		status int
-		told   float64 // upper limit of the time left that the backend is told (ms); 0: it gets no request
-	}{
+	body := requestText("POST /pay/x", "Req-Id: r1", "Req-Deadline: 2000m", "Content-Length: 3") + "abc"
+	for _, c := range []unreadTimeTest{
 		{"head", 700 * time.Millisecond, validRequest, 200, 1300},
-		{"body", 700 * time.Millisecond, requestText("POST /pay/x", "Req-Id: r1", "Req-Deadline: 2000m", "Content-Length: 3") + "abc", 200, 1300},
+		{"body", 700 * time.Millisecond, body, 200, 1300},
 		{"time over", 2100 * time.Millisecond, validRequest, 503, 0},
-		{"time over, body", 2100 * time.Millisecond, requestText("POST /pay/x", "Req-Id: r1", "Req-Deadline: 2000m", "Content-Length: 3") + "abc", 503, 0},
+		{"time over, body", 2100 * time.Millisecond, body, 503, 0},
 		{"longer than a head may take", 2 * newConnHeadTimeout, validRequest, 503, 0},
 		{"shorter than a tick of the kernel's clock", minUnreadWait - 1, validRequest, 200, 2000},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			backend := newFakeBackend(t)
-			l := newLoopback(t, backend.address(), dialTCP, true)
-			l.front.sockets.sinceLastData = func(int) (time.Duration, bool) { return c.waited, true }
-			told := make(chan string, 1)
-			go func() { // ends with the listener of the backend
-				conn, ok := <-backend.conns
-				if !ok {
-					return
-				}
-				defer conn.Close()
-				if _, deadline, err := conn.readRequest(); err == nil {
-					told <- deadline
-					conn.respond("x")
-				}
-			}()
-			client := l.dialFront()
-			send(client, c.text)
-			if status, _ := client.readResponse(t); status != c.status {
-				t.Errorf("status = %d, want %d", status, c.status)
-			}
-			if c.told == 0 {
-				if n := l.core.Counts().AttemptsByStatus; len(told) != 0 {
-					t.Errorf("the backend got a request, attempts %v; want none", n)
-				}
-				return
-			}
-			if got, ok := parseTimeLeft(<-told); !ok || got > c.told {
-				t.Errorf("time left told to the backend = %v ms, want at most %v", got, c.told)
-			}
-		})
+		t.Run(c.name, c.run)
+	}
+}
+
+// unreadTimeTest describes a request that waited unread.
+type unreadTimeTest struct {
+	name   string
+	waited time.Duration // as reported by the kernel
+	text   string
+	status int
+	told   float64 // upper limit of the time left that the backend is told (ms); 0: it gets no request
+}
+
+func (c unreadTimeTest) run(t *testing.T) {
+	backend := newFakeBackend(t)
+	sockets := NewSockets(0)
+	sockets.sinceLastData = func(int) (time.Duration, bool) { return c.waited, true }
+	l := newLoopbackOn(t, sockets, backend.address(), dialTCP, true)
+	told := make(chan string, 1)
+	go func() { // ends with the listener of the backend
+		conn, ok := <-backend.conns
+		if !ok {
+			return
+		}
+		defer conn.Close()
+		if _, deadline, err := conn.readRequest(); err == nil {
+			told <- deadline
+			conn.respond("x")
+		}
+	}()
+	client := l.dialFront()
+	send(client, c.text)
+	if status, _ := client.readResponse(t); status != c.status {
+		t.Errorf("status = %d, want %d", status, c.status)
+	}
+	if c.told == 0 {
+		if len(told) != 0 {
+			t.Errorf("the backend got a request, attempts %v; want none", l.core.Counts().AttemptsByStatus)
+		}
+		return
+	}
+	if got, ok := parseTimeLeft(<-told); !ok || got > c.told {
+		t.Errorf("time left told to the backend = %v ms, want at most %v", got, c.told)
 	}
 }
 
--- a/internal/httpwire/incomplete_test.go
+++ b/internal/httpwire/incomplete_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -19,114 +20,118 @@
 // Clients that stop in the middle of a request and stay must not keep others waiting in the backlog until their requests
 // are lost: while no socket is left, the oldest incomplete requests are rejected.
 func TestIncompleteRequestsDoNotBlockOthers(t *testing.T) {
-	for _, c := range []struct {
-		name   string
-		before string // request served on the connection before the incomplete one
-		half   func(id string) string
-	}{
-		{"body", "", halfRequest},
-		{"body on a connection that was served before", requestWithID("first"), halfRequest},
-		{"head on a connection that was served before", requestWithID("first"), func(id string) string { return requestWithID(id)[:30] }},
+	for _, c := range []stalledClientsTest{
+		{"body", false, halfRequest},
+		{"body on a connection that was served before", true, halfRequest},
+		{"head on a connection that was served before", true, func(id string) string { return requestWithID(id)[:30] }},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				instance := newTestInstance(network{"app:1": answerOnce("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")},
-					NewSockets(reservedSockets+10))
-				server := instance.serve()
-				stalled := make([]*peerConn, instance.front.sockets.ClientLimit())
-				for i := range stalled {
-					stalled[i] = server.dial()
-					if c.before != "" {
-						send(stalled[i], strings.Replace(c.before, "first", fmt.Sprintf("first%d", i), 1))
-						stalled[i].readResponse(t)
-					}
-				}
-				for i, client := range stalled {
-					send(client, c.half(fmt.Sprintf("half%d", i)))
-				}
-				rejected := make(chan clientAnswer, len(stalled))
-				for _, client := range stalled {
-					go func() { // ends when the front answers or closes the connection
-						if answer, _, err := readAnswer(client.in); err == nil {
-							rejected <- answer
-						}
-					}()
-				}
-				from := time.Now()
-				client := server.dial()
-				defer client.Close()
-				go send(client, requestWithID("whole")) // ends when it is read
-				if status, _ := client.readResponse(t); status != 200 {
-					t.Errorf("status of a whole request = %d, want 200", status)
-				}
-				if waited := time.Since(from); waited > 300*time.Millisecond {
-					t.Errorf("a whole request was answered after %v, want at most %v", waited, 300*time.Millisecond)
-				}
-				if answer := <-rejected; answer.StatusCode != 503 || !answer.Close {
-					t.Errorf("incomplete request: status = %d, close = %v; want 503 and true", answer.StatusCode, answer.Close)
-				}
-				if n := len(rejected); n > 1 {
-					t.Errorf("incomplete requests rejected for one new connection = %d, want at most 2", n+1)
-				}
-				for _, client := range stalled {
-					client.Close()
-				}
-				server.close()
-				instance.close()
-			})
-		})
+		t.Run(c.name, func(t *testing.T) { synctest.Test(t, c.run) })
+	}
+}
+
+// stalledClientsTest describes clients that hold all sockets for clients with incomplete requests.
+type stalledClientsTest struct {
+	name         string
+	servedBefore bool // a request was served on the connection before the incomplete one
+	half         func(id string) string
+}
+
+func (c stalledClientsTest) run(t *testing.T) {
+	instance := newTestInstance(network{"app:1": answerOnce("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")},
+		NewSockets(reservedSockets+10))
+	server := instance.serve()
+	rejected := make(chan clientAnswer, instance.front.sockets.ClientLimit())
+	for _, client := range c.connect(t, server, instance.front.sockets.ClientLimit()) {
+		defer client.Close()
+		go func() { // ends when the front answers or closes the connection
+			if answer, _, err := readAnswer(client.in); err == nil {
+				rejected <- answer
+			}
+		}()
+	}
+	from := time.Now()
+	client := server.dial()
+	defer client.Close()
+	go send(client, requestWithID("whole")) // ends when it is read
+	if status, _ := client.readResponse(t); status != 200 {
+		t.Errorf("status of a whole request = %d, want 200", status)
+	}
+	if waited := time.Since(from); waited > 2*incompleteGrace {
+		t.Errorf("a whole request was answered after %v, want at most %v", waited, 2*incompleteGrace)
+	}
+	if answer := <-rejected; answer.StatusCode != 503 || !answer.Close {
+		t.Errorf("incomplete request: status = %d, close = %v; want 503 and true", answer.StatusCode, answer.Close)
+	}
+	if n := len(rejected); n > 1 {
+		t.Errorf("incomplete requests rejected for one new connection = %d, want at most 2", n+1)
+	}
+	server.close()
+	instance.close()
+}
+
+// connect opens connections and sends an incomplete request on each.
+func (c stalledClientsTest) connect(t *testing.T, server *frontServer, count int) []*peerConn {
+	clients := make([]*peerConn, count)
+	for i := range clients {
+		clients[i] = server.dial()
+		if c.servedBefore {
+			send(clients[i], requestWithID(fmt.Sprintf("first%d", i)))
+			clients[i].readResponse(t)
+		}
+	}
+	for i, client := range clients {
+		send(client, c.half(fmt.Sprintf("half%d", i)))
 	}
+	return clients
 }
 
 // A request whose last bytes cross its rejection is not lost: if they have arrived at the socket it is read on, and if they
 // arrive later the client has been answered.
 func TestRejectionCrossesRequest(t *testing.T) {
-	for _, c := range []struct {
-		name         string
-		arrivesFirst bool // the rest of the request arrives before the rejection
-	}{
-		{"rest arrives first", true},
-		{"rejected first", false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			listener := listenTCP(t)
-			client := connectTCP(t, listener.Addr().String())
-			socket, err := listener.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := NewSockets(0)
-			conn := s.track(socket, true)
-			defer conn.Close()
-			s.ConnIdle(conn, false)
-			send(client, "GET /look/k HT")
-			buffer := make([]byte, 99)
-			if n, err := conn.Read(buffer); n != 14 || err != nil {
-				t.Fatalf("Read = %d, %v; want 14 bytes", n, err)
-			}
-			if c.arrivesFirst {
-				send(client, "TP/1.1\r\n")
-				waitUntil(func() bool { return !hasNoUnreadData(conn) })
-			}
-			if rejected := s.rejectIncomplete(0); rejected == c.arrivesFirst {
-				t.Errorf("rejectIncomplete = %v, want %v", rejected, !c.arrivesFirst)
-			}
-			if !c.arrivesFirst {
-				send(client, "TP/1.1\r\n")
-			}
-			n, err := conn.Read(buffer)
-			if wasRead := n > 0 && err == nil; wasRead != c.arrivesFirst {
-				t.Errorf("Read = %d, %v; want bytes: %v", n, err, c.arrivesFirst)
-			}
-			if c.arrivesFirst {
-				return
-			}
-			answer, _, err := readAnswer(bufio.NewReader(client))
-			if err != nil || answer.StatusCode != 503 || !answer.Close {
-				t.Errorf("answer to a rejected request = %v, %v; want status 503 and a close", answer, err)
-			}
-		})
+	const first, rest = "GET /look/k HT", "TP/1.1\r\n"
+	// receiving returns a connection on which the first part of a request has been read, and its client.
+	receiving := func(t *testing.T, s *Sockets) (conn *trackedConn, client net.Conn) {
+		listener := listenTCP(t)
+		client = connectTCP(t, listener.Addr().String())
+		socket, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn = s.track(socket, true)
+		t.Cleanup(func() { conn.Close() })
+		s.ConnIdle(conn, true)
+		send(client, first)
+		if n, err := conn.Read(make([]byte, 99)); n != len(first) || err != nil {
+			t.Fatalf("Read = %d, %v; want %d bytes", n, err, len(first))
+		}
+		return conn, client
 	}
+	t.Run("rest arrives first", func(t *testing.T) {
+		s := NewSockets(0)
+		conn, client := receiving(t, s)
+		send(client, rest)
+		waitUntil(func() bool { return !hasNoUnreadData(conn) })
+		if s.rejectIncomplete(0) {
+			t.Error("the request was rejected, want it kept: more of it has arrived")
+		}
+		if n, err := conn.Read(make([]byte, 99)); n != len(rest) || err != nil {
+			t.Errorf("Read = %d, %v; want %d bytes", n, err, len(rest))
+		}
+	})
+	t.Run("rejected first", func(t *testing.T) {
+		s := NewSockets(0)
+		conn, client := receiving(t, s)
+		if !s.rejectIncomplete(0) {
+			t.Error("the request was not rejected")
+		}
+		send(client, rest)
+		if n, err := conn.Read(make([]byte, 99)); n != 0 || err == nil {
+			t.Errorf("Read = %d, %v; want an error", n, err)
+		}
+		if answer, _, err := readAnswer(bufio.NewReader(client)); err != nil || answer.StatusCode != 503 || !answer.Close {
+			t.Errorf("answer to the rejected request = %v, %v; want status 503 and a close", answer, err)
+		}
+	})
 }
 
 // A connection on which half of its first head has arrived is not closed as idle, neither to make room nor at shutdown: the
--- a/internal/httpwire/loopback_test.go
+++ b/internal/httpwire/loopback_test.go
@@ -93,7 +93,13 @@
 
 func newLoopback(t *testing.T, address string, dial Dial, cancelAllowed bool) *loopback {
 	t.Helper()
-	instance := newTestInstance(network{}, NewSockets(0))
+	return newLoopbackOn(t, NewSockets(0), address, dial, cancelAllowed)
+}
+
+// newLoopbackOn is like newLoopback with the given socket budget.
+func newLoopbackOn(t *testing.T, sockets *Sockets, address string, dial Dial, cancelAllowed bool) *loopback {
+	t.Helper()
+	instance := newTestInstance(network{}, sockets)
 	instance.upstream.conns.dial, instance.upstream.conns.connectTimeout = dial, time.Minute
 	instance.front.cancelAllowed = cancelAllowed
 	instance.applyChange(t, 2, `{"id":"s","addr":"`+address+`","state":"Ready","weight":1,"version_no":1}`)
