--- a/internal/ci/tests_test.go
+++ b/internal/ci/tests_test.go
@@ -59,20 +59,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
-			files := map[string]string{
-				"go.mod": "module x\n\ngo 1.26\n", "a/a_test.go": c.a, "b/b_test.go": c.b, ".ci/run": ".ci/e2e srv --seed 1\n",
-			}
+			writeFile(t, dir, "go.mod", "module x\n\ngo 1.26\n", 0o600)
+			writeFile(t, dir, "a/a_test.go", c.a, 0o600)
+			writeFile(t, dir, "b/b_test.go", c.b, 0o600)
+			writeFile(t, dir, ".ci/run", ".ci/e2e srv --seed 1\n", 0o600)
 			if c.red != "-" {
-				files["KNOWN-RED.txt"] = c.red
-			}
-			for name, text := range files {
-				path := filepath.Join(dir, name)
-				if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-					t.Fatal(err)
-				}
-				if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-					t.Fatal(err)
-				}
+				writeFile(t, dir, "KNOWN-RED.txt", c.red, 0o600)
 			}
 			run := exec.CommandContext(t.Context(), "bash", script)
 			run.Dir = dir
@@ -111,16 +103,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
-			program := fmt.Sprintf("#!/bin/sh\nexit %d\n", c.status)
-			if err := os.Mkdir(filepath.Join(dir, "bin"), 0o700); err != nil {
-				t.Fatal(err)
-			}
-			if err := os.WriteFile(filepath.Join(dir, "bin", "e2e"), []byte(program), 0o700); err != nil {
-				t.Fatal(err)
-			}
-			if err := os.WriteFile(filepath.Join(dir, "KNOWN-RED.txt"), []byte(c.red), 0o600); err != nil {
-				t.Fatal(err)
-			}
+			writeFile(t, dir, "bin/e2e", fmt.Sprintf("#!/bin/sh\nexit %d\n", c.status), 0o700)
+			writeFile(t, dir, "KNOWN-RED.txt", c.red, 0o600)
 			run := exec.CommandContext(t.Context(), "bash", script, "srv", "--seed", c.seed)
 			run.Dir = dir
 			out, err := run.CombinedOutput()
@@ -130,3 +114,15 @@
 		})
 	}
 }
+
+// writeFile writes a file and creates its folder.
+func writeFile(t *testing.T, dir, name, text string, mode os.FileMode) {
+	t.Helper()
+	path := filepath.Join(dir, name)
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, []byte(text), mode); err != nil {
+		t.Fatal(err)
+	}
+}
