--- a/internal/httpwire/backlog_test.go
+++ b/internal/httpwire/backlog_test.go
@@ -108,12 +108,7 @@
 
 // What arrives after a connection was accepted has not been in the backlog.
 func TestBytesAfterAccept(t *testing.T) {
-	listener := listenTCP(t)
-	client := connectTCP(t, listener.Addr().String())
-	socket, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	client, socket := connectedPair(t)
 	s := NewSockets(0)
 	s.sinceLastData = func(int) (time.Duration, bool) { return 0, false }
 	s.blockAccept()
@@ -147,12 +142,7 @@
 
 // The kernel reports for how long nothing has arrived, whether or not the bytes have been read.
 func TestSinceLastData(t *testing.T) {
-	listener := listenTCP(t)
-	client := connectTCP(t, listener.Addr().String())
-	socket, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	client, socket := connectedPair(t)
 	conn := NewSockets(0).track(socket, true)
 	defer conn.Close()
 	const long = 20 * time.Millisecond
--- a/internal/httpwire/incomplete_test.go
+++ b/internal/httpwire/incomplete_test.go
@@ -90,14 +90,9 @@
 func TestRejectionCrossesRequest(t *testing.T) {
 	const first, rest = "GET /look/k HT", "TP/1.1\r\n"
 	// receiving returns a connection on which the first part of a request has been read, and its client.
-	receiving := func(t *testing.T, s *Sockets) (conn *trackedConn, client net.Conn) {
-		listener := listenTCP(t)
-		client = connectTCP(t, listener.Addr().String())
-		socket, err := listener.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		conn = s.track(socket, true)
+	receiving := func(t *testing.T, s *Sockets) (*trackedConn, net.Conn) {
+		client, socket := connectedPair(t)
+		conn := s.track(socket, true)
 		t.Cleanup(func() { conn.Close() })
 		s.ConnIdle(conn, true)
 		send(client, first)
--- a/internal/httpwire/loopback_test.go
+++ b/internal/httpwire/loopback_test.go
@@ -87,6 +87,19 @@
 	return conn
 }
 
+// connectedPair returns both ends of a TCP connection that is closed when the test ends.
+func connectedPair(t *testing.T) (client, accepted net.Conn) {
+	t.Helper()
+	listener := listenTCP(t)
+	client = connectTCP(t, listener.Addr().String())
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return client, accepted
+}
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	return new(net.Dialer).DialContext(ctx, "tcp", address)
 }
--- a/internal/httpwire/sockets_test.go
+++ b/internal/httpwire/sockets_test.go
@@ -140,12 +140,7 @@
 // An idle connection must not be evicted if a byte of the next request has been read from its socket, even if the
 // reader has not returned yet: the request would be lost.
 func TestIdleCloseRace(t *testing.T) {
-	listener := listenTCP(t)
-	client := connectTCP(t, listener.Addr().String())
-	socket, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	client, socket := connectedPair(t)
 	s := NewSockets(0)
 	reader := pausedReader{socket, make(chan bool), make(chan bool)}
 	conn := s.track(reader, true)
@@ -187,12 +182,7 @@
 
 // Between the check that finds a connection idle and its close, no byte of a next request is read.
 func TestEvictedConnNotRead(t *testing.T) {
-	listener := listenTCP(t)
-	client := connectTCP(t, listener.Addr().String())
-	socket, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	client, socket := connectedPair(t)
 	s := NewSockets(0)
 	conn := s.track(socket, true)
 	defer conn.Close()
