List a connection as receiving when the next request's first byte was read early

Cause: if the server's check for a close reads the first byte of the next request before the connection is reported idle, the connection is in no list: ConnIdle only refused to list it as idle. So its request could not be rejected.

Change: ConnIdle lists it among those that are receiving a request. Test: TestNextRequestReadEarly checks that too (without the fix receiving = 0, want 1).

--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -120,15 +120,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.servedBefore = !isNew
-	// The server's check whether the client has disconnected may already have read the first byte of the next request.
-	// Then the connection is not idle.
-	canBeIdle := c.betweenRequests && c.element == nil && !c.closed
-	if !canBeIdle {
+	if c.closed || c.element != nil {
 		return
 	}
-	if isNew {
+	switch {
+	case !c.betweenRequests:
+		// The server's check whether the client has disconnected has already read the first byte of the next request.
+		c.addTo(s.receivingConns)
+	case isNew:
 		c.addTo(s.newConns)
-	} else {
+	default:
 		c.addTo(s.idleConns)
 	}
 }
--- a/internal/httpwire/sockets_test.go
+++ b/internal/httpwire/sockets_test.go
@@ -197,7 +197,7 @@
 }
 
 // The server's check whether the client has disconnected may read the first byte of the next request early. Then the
-// connection is not idle.
+// connection is not idle, and its request can be rejected if it stays incomplete.
 func TestNextRequestReadEarly(t *testing.T) {
 	s := NewSockets(0)
 	client, serverSide := net.Pipe()
@@ -216,8 +216,9 @@
 	s.RequestRead(conn) // r1 is complete
 	read(1)
 	s.ConnIdle(conn, false)
-	if idle := s.Usage().IdleClients; idle != 0 || s.RequestAge(conn) == 0 {
-		t.Errorf("idle connections = %d, request age = %v; want 0 and more than 0", idle, s.RequestAge(conn))
+	if usage := s.Usage(); usage.IdleClients != 0 || usage.ReceivingClients != 1 || s.RequestAge(conn) == 0 {
+		t.Errorf("idle connections = %d, receiving = %d, request age = %v; want 0, 1 and more than 0",
+			usage.IdleClients, usage.ReceivingClients, s.RequestAge(conn))
 	}
 	s.RequestRead(conn)
 	s.ConnIdle(conn, false)
