--- a/review/stand-2/backend.go
+++ b/review/stand-2/backend.go
@@ -36,6 +36,20 @@
 	onProbe func(b *backend) reply
 
 	listener net.Listener
+	mu       sync.Mutex
+	ended    bool
+	conns    map[net.Conn]bool
+}
+
+// stop ends the backend: its connections are reset and new ones refused, as of a process that ends.
+func (b *backend) stop() {
+	b.listener.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	for c := range b.conns {
+		c.Close()
+	}
 }
 
 func (b *backend) serve() error {
@@ -43,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	b.listener = l
+	b.listener, b.conns = l, map[net.Conn]bool{}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -60,6 +74,18 @@
 
 func (b *backend) handle(c *net.TCPConn) {
 	defer c.Close()
+	b.mu.Lock()
+	ended := b.ended
+	b.conns[c] = true
+	b.mu.Unlock()
+	if ended {
+		return
+	}
+	defer func() {
+		b.mu.Lock()
+		delete(b.conns, c)
+		b.mu.Unlock()
+	}()
 	in := bufio.NewReaderSize(c, 4096)
 	for {
 		if _, err := in.Peek(1); err != nil {
--- a/review/stand-2/clients.go
+++ b/review/stand-2/clients.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -16,8 +18,11 @@
 	name   string
 	method string
 	keyed  bool
-	wait   time.Duration // how long a client waits for an answer
-	share  float64
+	wait   time.Duration // how long a client says that it waits for an answer
+	// leaves is the share of clients that close their connection after leaveFrom to leaveTo, if they have no answer by then.
+	leaves             float64
+	leaveFrom, leaveTo time.Duration
+	share              float64
 }
 
 // answer is how a request ended for its client.
@@ -27,6 +32,7 @@
 	status         int // 0: none
 	body           string
 	err            string
+	left           time.Time // when the client closed its connection without an answer; zero: it did not
 }
 
 // clients send requests to one instance, at a given mean rate: one at a time on each connection, and on a new connection
@@ -111,7 +117,11 @@
 		body = "order " + id + "\n"
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	c.exchange(&a, head+"\r\n"+body, of.wait)
+	patience := of.wait
+	if rand.Float64() < of.leaves {
+		patience = between(of.leaveFrom, of.leaveTo)
+	}
+	c.exchange(&a, head+"\r\n"+body, patience)
 	c.world.note("client: %s %s sent at %.1f, ended with %d %s", a.id, a.class, c.world.ms(a.sent), a.status, a.err)
 	c.mu.Lock()
 	c.answers = append(c.answers, a)
@@ -143,6 +153,9 @@
 			return
 		}
 		conn.Close()
+		if a.status == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			a.left = time.Now()
+		}
 		crossed := conn.used && a.status == 0 && time.Now().Before(deadline)
 		conn.used = true
 		if a.status != 0 {
