--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -5,7 +5,7 @@
 for program in bin/onyxgate bin/review-2; do
   test -x "$program" || { echo "$program is missing: build by the deploy file and by review/build-2.sh"; exit 2; }
 done
-timeout -k 5 115 bin/review-2 stall-drain "$here/record.txt"
+timeout -k 5 115 bin/review-2 big-bodies "$here/record.txt"
 status=$?
 test "$status" -le 1 || status=2
 exit "$status"
