--- a/review/stand-2/case_stall_left.go
+++ b/review/stand-2/case_stall_left.go
@@ -8,15 +8,14 @@
 
 func init() { cases["stall-left"] = playStallLeft }
 
-// playStallLeft: two of three instances stand still for 460 to 930 ms every 2.2 to 3.6 s, for 40 s. Some clients leave before
+// playStallLeft: two of three instances stand still for 460 to 930 ms every 2.2 to 3.6 s, for 35 s. Some clients leave before
 // their time. No submission may begin later than 0.1 s, and 50 ms for sockets, after the client has closed its connection.
 func playStallLeft(w *world) (broken int, err error) {
 	const (
 		places  = 14
 		bound   = 100*time.Millisecond + 50*time.Millisecond
-		length  = 50 * time.Second
-		stopped = 2 // of the three instances
-		stalls  = 40 * time.Second
+		length  = 35 * time.Second // of the stalls and of the leaving: stalls may last 40 s, leaving 35 s
+		stopped = 2                // of the three instances
 	)
 	sent := &attempts{}
 	var entries []entry
@@ -39,7 +38,7 @@
 	var background sync.WaitGroup
 	for i, p := range instances {
 		if i < stopped && w.trouble {
-			background.Go(func() { w.stall(p, time.Now().Add(stalls)) })
+			background.Go(func() { w.stall(p, time.Now().Add(length)) })
 		}
 	}
 	var leaving []class
