--- a/review/stand-2/case_record_left.go
+++ b/review/stand-2/case_record_left.go
@@ -14,16 +14,15 @@
 
 func init() { cases["record-left"] = playRecordLeft }
 
-// playRecordLeft: two of three instances, with the store of record, stand still for 460 to 930 ms every 2.2 to 3.6 s, for 40 s.
+// playRecordLeft: two of three instances, with the store of record, stand still for 460 to 930 ms every 2.2 to 3.6 s, for 35 s.
 // Some clients leave before their time. The record may not claim an answer as given that began after the client had closed
 // its connection and that nobody received.
 func playRecordLeft(w *world) (broken int, err error) {
 	const (
 		places  = 14
 		bound   = 100*time.Millisecond + 50*time.Millisecond
-		length  = 50 * time.Second
-		stopped = 2 // of the three instances
-		stalls  = 40 * time.Second
+		length  = 35 * time.Second // of the stalls and of the leaving: stalls may last 40 s, leaving 35 s
+		stopped = 2                // of the three instances
 	)
 	var entries []entry
 	for i := range places {
@@ -46,7 +45,7 @@
 	var background sync.WaitGroup
 	for i, p := range instances {
 		if i < stopped && w.trouble {
-			background.Go(func() { w.stall(p, time.Now().Add(stalls)) })
+			background.Go(func() { w.stall(p, time.Now().Add(length)) })
 		}
 	}
 	var leaving []class
@@ -58,7 +57,7 @@
 		c.leaves, c.leaveFrom, c.leaveTo = 0.8, aim*33/100, aim*80/100
 		leaving = append(leaving, c)
 	}
-	all := world.sendTo(instances, 100, leaving, time.Now().Add(length))
+	all := world.sendTo(instances, 150, leaving, time.Now().Add(length))
 	background.Wait()
 	recorded, err := w.readRecord(instances)
 	if err != nil {
