--- a/review/stand-2/backend.go
+++ b/review/stand-2/backend.go
@@ -96,11 +96,9 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		_ = body
 		answer := reply{status: http.StatusNotFound, body: "no such page"}
 		isProbe := r.URL.Path == "/alive" || r.URL.Path == "/metrics/load"
 		id := r.Header.Get("Req-Id")
--- a/review/stand-2/nameserver.go
+++ b/review/stand-2/nameserver.go
@@ -91,7 +91,7 @@
 	if !isSRV {
 		return b
 	}
-	target := func(i int) []byte { return encodeName("t" + string(rune('a'+i)) + ".x.org") }
+	target := func(i int) []byte { return encodeName("t" + string(rune('a'+i)) + ".example") }
 	for i, a := range n.addr {
 		data := binary.BigEndian.AppendUint16(nil, 1) // priority
 		data = binary.BigEndian.AppendUint16(data, 1) // weight
