End-to-end test for clients that stop, flood or leave, by the hundreds

The fake fleet's clients now send a request once more on a new connection if a connection that was used before breaks without a byte of a response, as the protocol says; before, a close between requests counted as a lost request.

--- a/cmd/e2e/main.go
+++ b/cmd/e2e/main.go
@@ -21,6 +21,7 @@
 func main() {
 	var cli struct {
 		Day      dayCommand            `cmd:"" help:"A release rollout under traffic, on three instances and ten backends."`
+		Clients  clientsCommand        `cmd:"" help:"Clients that stop, flood or leave, by the hundreds, beside the usual load."`
 		Srv      srvCommand            `cmd:"" help:"Discovery and SRV records that disagree."`
 		Record   recordCommand         `cmd:"" help:"The store of record under kills and stalls."`
 		Pgwire   postgresServerCommand `cmd:"" hidden:"" help:"A fake PostgreSQL server in a process that can be killed."`
--- a/internal/fake/fleet/audit.go
+++ b/internal/fake/fleet/audit.go
@@ -30,6 +30,9 @@
 // attemptArrived checks and counts an attempt that has reached a backend, and fills in the incarnation of its instance's
 // process and whether the backend was draining.
 func (f *Fleet) attemptArrived(b *Backend, a *attempt) {
+	if f.onAttempt != nil {
+		f.onAttempt(a.requestID)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
--- a/internal/fake/fleet/backend.go
+++ b/internal/fake/fleet/backend.go
@@ -20,6 +20,12 @@
 // maxQueue is the number of requests that may wait for a core of a backend.
 const maxQueue = 64
 
+// LargeKey is an affinity key whose requests are answered with the largest body that the protocol allows.
+const LargeKey = "large"
+
+// maxBodyBytes is the size of the largest body that the protocol allows.
+const maxBodyBytes = 64 << 10
+
 // drainSlack is added to DrainGrace before an attempt counts as late: on a busy host an attempt may be in transit for
 // that long.
 const drainSlack = 50 * time.Millisecond
@@ -172,7 +178,11 @@
 		http.Error(w, "broken", http.StatusInternalServerError)
 		return
 	}
-	respond(w, fmt.Sprintf("%s %s %x", arrived.class.Name, arrived.requestID, len(body)))
+	text := fmt.Sprintf("%s %s %x", arrived.class.Name, arrived.requestID, len(body))
+	if arrived.key == LargeKey {
+		text += strings.Repeat(".", maxBodyBytes-len(text))
+	}
+	respond(w, text)
 	b.fleet.answerWritten(b, arrived)
 }
 
--- a/internal/fake/fleet/client_conn.go
+++ b/internal/fake/fleet/client_conn.go
@@ -22,51 +22,72 @@
 	silenceThreshold = time.Second           // a missing response counts as silence from this long after the deadline
 )
 
-// attempt sends one try of a request and sets the outcome of its response.
+// attempt sends one try of a request and sets the outcome of its response. An instance may close a connection between
+// requests: if a connection that was used before breaks without a byte of a response, the request is sent once more on a new
+// one, as the protocol says.
 func (c *Clients) attempt(r request, response *Response) {
-	conn := c.connect(response.Instance)
+	conn, reused := c.connect(response.Instance)
+	if reused && !c.exchangeOn(conn, r, response) {
+		conn, reused = c.dial(response.Instance), false
+	}
+	if !reused {
+		c.exchangeOn(conn, r, response)
+	}
+}
+
+// exchangeOn sends one try of a request on a connection, which may be nil, and sets the outcome of its response. It reports
+// false if the connection broke before a response began and long before the client stops waiting.
+func (c *Clients) exchangeOn(conn net.Conn, r request, response *Response) (begun bool) {
 	if conn == nil {
 		response.Outcome = OutcomeUnreachable
-		return
+		return true
 	}
-	if exchange(conn, r, response) {
+	response.Outcome = ""
+	reusable, begun := exchange(conn, r, response)
+	if reusable {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.idle[response.Instance] = append(c.idle[response.Instance], conn)
-		return
+		return true
 	}
 	conn.Close()
 	switch {
 	case response.Outcome != "": // complete response on a connection that the instance closes
 	case time.Since(response.Sent) > r.class.Timeout+silenceThreshold:
 		response.Outcome = OutcomeSilent
+		return true
 	default:
 		response.Outcome = OutcomeBroken
 	}
+	return begun
 }
 
 // exchange writes a request and reads its response. It sets the outcome if the response is complete, and reports
-// whether the connection can be reused.
-func exchange(conn net.Conn, r request, response *Response) (reusable bool) {
+// whether the connection can be reused and whether any byte of a response came.
+func exchange(conn net.Conn, r request, response *Response) (reusable, begun bool) {
 	if conn.SetDeadline(time.Now().Add(r.class.Timeout+responseSlack)) != nil {
-		return false
+		return false, false
 	}
 	if _, err := io.WriteString(conn, requestText(r, response)); err != nil {
-		return false
+		return false, false
 	}
-	reply, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	in := bufio.NewReader(conn)
+	if _, err := in.Peek(1); err != nil {
+		return false, false
+	}
+	reply, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return false
+		return false, true
 	}
 	defer reply.Body.Close()
 	body, err := io.ReadAll(reply.Body)
 	if err != nil {
-		return false
+		return false, true
 	}
 	if response.Outcome = outcomeOf(reply.StatusCode); response.Outcome == OutcomeServed {
 		response.Body = record.DigestOf(body)
 	}
-	return !reply.Close
+	return !reply.Close, true
 }
 
 func outcomeOf(status int) string {
@@ -99,13 +120,18 @@
 
 // connect returns an idle connection that the instance has not closed, or opens a new one. It returns nil if the
 // instance can't be reached.
-func (c *Clients) connect(instance int) net.Conn {
+func (c *Clients) connect(instance int) (conn net.Conn, reused bool) {
 	for conn := c.takeIdle(instance); conn != nil; conn = c.takeIdle(instance) {
 		if stillOpen(conn) {
-			return conn
+			return conn, true
 		}
 		conn.Close()
 	}
+	return c.dial(instance), false
+}
+
+// dial opens a connection. It returns nil if the instance can't be reached.
+func (c *Clients) dial(instance int) net.Conn {
 	conn, err := loopback.Dial(c.options.Addresses[instance], connectTimeout)
 	if err != nil {
 		return nil
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"sync"
@@ -13,6 +14,12 @@
 	"onyxgate/internal/fake/loopback"
 )
 
+// Limits of an instance unless Options sets others.
+const (
+	defaultMemoryMB = 128
+	defaultSockets  = 1024
+)
+
 // drainingTime is how long a backend is listed as draining before it is listed as gone.
 const drainingTime = 3 * time.Second
 
@@ -21,6 +28,11 @@
 	Instances int
 	Backends  int // running release 1, all warm
 	Cores     int // per backend
+
+	MemoryMB, Sockets int // limits of each instance; 0 means the default
+
+	// OnAttempt, if set, is called with the id of each request that reaches a backend whole.
+	OnAttempt func(requestID string)
 }
 
 // Fleet is the platform's side for a number of instances. Linger, KeyAffinity and PlatformOverride must be set before
@@ -35,6 +47,9 @@
 	DrainsNotified   int            // number of notifications to an instance that a backend is draining
 	LatestAfterDrain time.Duration  // longest time from notifying an instance of a drain to the arrival of an attempt from it
 
+	memoryMB, sockets int          // limits of each instance
+	onAttempt         func(string) // may be nil
+
 	mu             sync.Mutex // guards everything below
 	backends       []*Backend // all ever started, in that order
 	listVersion    int
@@ -66,6 +81,9 @@
 func New(options Options) (*Fleet, error) {
 	f := &Fleet{
 		Instances:          options.Instances,
+		memoryMB:           cmp.Or(options.MemoryMB, defaultMemoryMB),
+		sockets:            cmp.Or(options.Sockets, defaultSockets),
+		onAttempt:          options.OnAttempt,
 		PlatformOverride:   map[int]string{},
 		muted:              map[int]bool{},
 		endpointStreams:    map[*subscriber]bool{},
