Notice a client's close behind unread bytes, before every attempt

Cause: hasLeft in handler.go took unread data for a client that is there, and net/http stops looking for a close once it has read a byte of a further request. Attempts after the first were checked nowhere. Ruled out: a slow process (attempts began late with the processor idle) and the backlog (the first request of each such connection was read in time).

Core.MarkSent asks before each attempt, so no path can leave it out.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -53,8 +53,12 @@
 // MarkSent is like SetCanceler, for the moment immediately before the bytes of the call are sent. If both results are
 // false, the attempt counts as sent and the caller must send it; otherwise the caller must not send it. MarkSent asks
 // the decisions again whether the attempt may be sent, because what they chose before the connection was established
-// may no longer be valid.
+// may no longer be valid. It also asks the front whether the client is still there: every attempt, whatever started it,
+// passes here.
 func (a *Attempt) MarkSent(canceler Canceler) (canceled, timedOut bool) {
+	if r := a.request; r.clientLeft != nil && r.clientLeft() {
+		r.ClientGone()
+	}
 	c := a.request.core
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -27,6 +27,7 @@
 
 	core             *Core
 	startAttempt     func(*Attempt)
+	clientLeft       func() bool      // may be nil
 	interceptorState interceptorState // used by the handler's goroutine only
 
 	// The fields below are guarded by the lock of Core.
@@ -53,6 +54,9 @@
 	// RejectReason is one word if the front has no room for the request, and empty otherwise. Such a request is
 	// rejected like any other, but the decisions do not see it.
 	RejectReason string
+	// ClientLeft reports whether the client has closed its connection; nil means that ClientGone reports every close. It is
+	// called before each attempt is sent, from any goroutine and without the lock of Core, and must not block.
+	ClientLeft func() bool
 	// StartAttempt carries out an attempt that is requested while the handler is carrying out another one. Each call
 	// is made in a new goroutine, and calls may be concurrent.
 	StartAttempt func(*Attempt)
@@ -66,6 +70,7 @@
 	request := &Request{
 		ID: incoming.ID, IdempotencyKey: incoming.IdempotencyKey, Class: incoming.Class, ArrivedAt: incoming.ArrivedAt,
 		Deadline: incoming.ArrivedAt + incoming.TimeLeft, core: c, startAttempt: incoming.StartAttempt,
+		clientLeft: incoming.ClientLeft,
 	}
 	rejectReason := incoming.RejectReason
 	if rejectReason == "" {
--- a/internal/httpwire/clientleft_test.go
+++ b/internal/httpwire/clientleft_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 )
 
 // A request whose client closed its connection while it waited unread, as in the listener's backlog, must not be sent to a
@@ -68,3 +70,71 @@
 		t.Errorf("counts = %+v, want one client gone", n)
 	}
 }
+
+// Requests that a client sent at once, or the last of them, must not be sent to a backend after it has closed its connection:
+// the unread requests behind one hide the close from net/http.
+func TestClientLeftBehindUnreadRequests(t *testing.T) {
+	const requests = 60
+	backend := newFakeBackend(t)
+	l := newLoopback(t, backend.address(), dialTCP, true)
+	client := l.dialFront()
+	var batch strings.Builder
+	for i := range requests {
+		batch.WriteString(requestWithID(fmt.Sprintf("r%d", i)))
+	}
+	send(client, batch.String())
+	first := <-backend.conns
+	if _, _, err := first.readRequest(); err != nil {
+		t.Fatal(err)
+	}
+	client.Close()
+	first.respond("x") // to a client that has gone
+	first.Close()
+	go func() { // ends with the listener of the backend
+		for conn := range backend.conns {
+			t.Error("an attempt began after the client had left")
+			conn.Close()
+		}
+	}()
+	waitUntil(func() bool { return l.front.sockets.Usage().Clients == 0 })
+	if n := l.core.Counts(); n.Accepted != 1 {
+		t.Errorf("requests accepted = %d, want the first one only", n.Accepted)
+	}
+}
+
+// clientLeft knows of a close whatever lies unread in front of it, also if there is so much that the kernel has not yet received
+// the close.
+func TestClientLeftKnown(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		unread int // bytes that the client has sent
+		closed bool
+		left   bool
+	}{
+		{"nothing unread", 0, false, false},
+		{"closed", 0, true, true},
+		{"one byte unread", 1, false, false},
+		{"closed behind one byte", 1, true, true},
+		{"closed behind some requests", maxUnreadBehind / 2, true, true},
+		{"more unread than any request", maxUnreadBehind, false, true},
+		{"closed behind more than the receive window", 4 << 20, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client, accepted := connectedPair(t)
+			conn := NewSockets(0).track(accepted, true)
+			if c.unread > 0 {
+				_ = client.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)) // not all of it may fit
+				send(client, strings.Repeat("x", c.unread))
+				waitUntil(func() bool { return peek(conn) == unreadData })
+			}
+			if c.closed {
+				client.Close()
+			}
+			if c.left {
+				waitUntil(conn.clientLeft) // the close crosses the loopback
+			} else if conn.clientLeft() {
+				t.Error("clientLeft = true, want false")
+			}
+		})
+	}
+}
--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -41,7 +41,8 @@
 	if rejectReason == "" && !f.awaitStart(r.Context(), policy.QueueDeadline(arrivedAt, deadline)) {
 		rejectReason = rejectStarting
 	}
-	if hasLeft(r) {
+	conn := connOf(r)
+	if r.Context().Err() != nil || conn.clientLeft() {
 		f.clientsLeft.Add(1)
 		writeUnread(w, errClientLeft)
 		return
@@ -52,6 +53,7 @@
 	request := f.core.Accept(core.IncomingRequest{
 		ID: parsed.id, Key: parsed.key, IdempotencyKey: parsed.idempotencyKey, Class: parsed.class.index, Retry: parsed.retry,
 		ArrivedAt: arrivedAt, TimeLeft: parsed.timeLeft, RejectReason: rejectReason, StartAttempt: send,
+		ClientLeft: conn.clientLeft,
 	})
 	if request == nil {
 		f.writeInvalidRequest(w, errDuplicateID)
@@ -64,17 +66,6 @@
 	h.run(r.Context())
 }
 
-// hasLeft reports whether the client of a request that has been read completely has closed its connection. The server
-// detects a close too, but at the same time as the request is handled: a request that has waited unread could be sent to a
-// backend for a client that left long ago.
-func hasLeft(r *http.Request) bool {
-	if r.Context().Err() != nil {
-		return true
-	}
-	conn := connOf(r)
-	return conn != nil && peek(conn) == unreadEnd
-}
-
 // rejectReason returns the reason to reject a request that exceeds the front's limits, or "". The request's body already
 // counts in openBodyBytes.
 func (f *Front) rejectReason(id string, openBodyBytes int64) string {
--- a/internal/httpwire/unread_linux.go
+++ b/internal/httpwire/unread_linux.go
@@ -19,3 +19,14 @@
 	}
 	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
+
+// tcpEstablished is the state of a TCP connection that neither side has closed.
+const tcpEstablished = 1
+
+// closedByPeer reports whether the other side of a TCP connection has closed or reset it, whether or not everything that it
+// sent before has been read. It reports false if the kernel does not know.
+func closedByPeer(fd int) bool {
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	// Some environments accept the call and fill in nothing: no state is 0.
+	return err == nil && info.State != 0 && info.State != tcpEstablished
+}
