Let ended requests go of their bodies and connections before their deadline

Callers saw: instances over their memory limit under clients with bodies, even where the bodies of open requests were few.

Cause: core/timers.go keeps the watchdog's timer of each request up to the request's deadline. The timer holds the Request, whose startAttempt (request.go) refers to the head, the body and the connection. Ruled out: garbage (gctrace: 18 MB live of a goal of 18 MB, 1,852 timers pending, 0 requests open) and the goroutines (76 connections).

Change: removeIfDone drops startAttempt and clientLeft once a request is answered and has no open attempt; nobody calls them after that.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -184,12 +184,21 @@
 	r.removeIfDone()
 }
 
+// isDone reports whether the request is answered and has no open attempts. The caller holds the lock.
+func (r *Request) isDone() bool { return r.ended && r.openAttempts == 0 }
+
 // removeIfDone removes the request from the open requests once it is answered and has no open attempts. The caller
 // holds the lock.
 func (r *Request) removeIfDone() {
-	if r.ended && r.openAttempts == 0 && r.core.requests[r.ID] == r {
+	if !r.isDone() {
+		return
+	}
+	if r.core.requests[r.ID] == r {
 		delete(r.core.requests, r.ID)
 	}
+	// The watchdog's timer keeps the request until its deadline. It must not keep what the front holds for it, such as its
+	// body and its connection.
+	r.startAttempt, r.clientLeft = nil, nil
 }
 
 // watchdog answers the request if the decisions have failed to, and interrupts its open attempts. It wakes the
