--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,7 @@
 	clock            clock // its functions are set once; the offset is guarded by mu
 	requests         map[string]*Request
 	timers           timerQueue
+	pruneTimersAt    int         // length of timers at which the obsolete ones are removed
 	wakeTimer        *time.Timer // fires when the earliest of timers is due
 	logLines         chan string
 	shuttingDown     bool
--- a/internal/core/ended_test.go
+++ b/internal/core/ended_test.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"testing/synctest"
+	"time"
 	"weak"
 
 	"onyxgate/policy"
@@ -59,3 +61,27 @@
 	request.Close()
 	return weak.Make(held)
 }
+
+// The timers of ended requests do not pile up when clients give their requests a day's time.
+func TestTimersOfEndedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const day = 24 * 3600 * 1000
+		core, _ := newTestCore(t, policy.RequestClass{}, 1)
+		open := accept(core, "open", day)
+		for i := range 5 * minTimersToPrune {
+			request := accept(core, fmt.Sprint("r", i), day)
+			request.NextAction().Attempt.Finish(policy.StatusServed, testResponse("body"), policy.LoadReport{})
+			request.NextAction()
+			request.Close()
+			if timers := core.Counts().Timers; timers > minTimersToPrune {
+				t.Fatalf("after %d requests %d timers are pending, want at most %d", i+1, timers, minTimersToPrune)
+			}
+		}
+		time.Sleep(2 * day * time.Millisecond)
+		open.NextAction().Attempt.Finish(policy.StatusNotSent, nil, policy.LoadReport{})
+		if action := open.NextAction(); action.Kind == ActionSendAttempt {
+			t.Errorf("action = %v at the deadline of the request that stayed open, want its answer", action.Kind)
+		}
+		open.Close()
+	})
+}
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -9,6 +10,10 @@
 // to ten thousand wake-ups a second, with only a few timers due each time.
 const minTimerInterval = time.Millisecond
 
+// minTimersToPrune is the number of timers from which on those of ended requests are removed from the queue. Clients choose
+// how much time their requests have, up to a day: without pruning, ended requests would be held for as long.
+const minTimersToPrune = 4096
+
 // timer is a timer of the decisions (request and attempt are nil), the watchdog of a request, or the timeout of an
 // attempt. One runtime timer serves all of them; it is set to the earliest.
 type timer struct {
@@ -20,6 +25,17 @@
 
 func (t timer) isInstanceTimer() bool { return t.request == nil && t.attempt == nil }
 
+// isObsolete reports whether the timer will have no effect when it is due.
+func (t timer) isObsolete() bool {
+	switch {
+	case t.attempt != nil:
+		return t.attempt.ended
+	case t.request != nil:
+		return t.request.isDone()
+	}
+	return false
+}
+
 // timerQueue is a min-heap of timers ordered by time.
 type timerQueue []timer
 
@@ -73,7 +89,7 @@
 		fired := heap.Pop(&c.timers).(timer)
 		if fired.attempt != nil {
 			fired.attempt.expire()
-		} else if !fired.request.ended || fired.request.openAttempts > 0 {
+		} else if !fired.request.isDone() {
 			overdue = append(overdue, fired.request)
 		}
 	}
@@ -83,12 +99,23 @@
 
 // addTimer adds a timer and reschedules the wake-up if the timer is now the earliest. The caller holds the lock.
 func (c *Core) addTimer(now float64, added timer) {
+	if len(c.timers) >= max(c.pruneTimersAt, minTimersToPrune) {
+		c.pruneTimers()
+	}
 	heap.Push(&c.timers, added)
 	if c.timers[0] == added {
 		c.rescheduleTimers(now)
 	}
 }
 
+// pruneTimers removes the timers of ended requests and attempts. The next pruning follows when the queue has doubled, so that
+// its cost for each timer is constant. The caller holds the lock.
+func (c *Core) pruneTimers() {
+	c.timers = slices.DeleteFunc(c.timers, timer.isObsolete) // clears the vacated elements
+	heap.Init(&c.timers)
+	c.pruneTimersAt = 2 * len(c.timers)
+}
+
 // rescheduleTimers sets the wake-up to the earliest timer. The caller holds the lock.
 func (c *Core) rescheduleTimers(now float64) {
 	if len(c.timers) == 0 {
--- a/policy/timers.go
+++ b/policy/timers.go
@@ -1,10 +1,17 @@
 package policy
 
-import "container/heap"
+import (
+	"container/heap"
+	"slices"
+)
 
 // minTimerDelay (ms) is the shortest delay passed to SetTimer, because the host counts in microseconds.
 const minTimerDelay = 0.001
 
+// minTimersToPrune is the number of timers from which on those of ended requests are removed from the queue. Clients choose
+// how much time their requests have: without pruning, ended requests would be held for as long.
+const minTimersToPrune = 4096
+
 // timer is a time at which a request becomes pending again. A timer without a request only causes the rules to be
 // applied.
 type timer struct {
@@ -15,6 +22,7 @@
 // timers holds the instance's timers. The port is given only the next one.
 type timers struct {
 	queue   timerQueue
+	pruneAt int     // length of queue at which the obsolete timers are removed
 	armedAt float64 // ms, when the port's timer expires; infinite: none is set
 	token   uint64  // of the last timer set through the port
 }
@@ -38,15 +46,27 @@
 func (q *timerQueue) Pop() any {
 	old := *q
 	last := old[len(old)-1]
+	old[len(old)-1] = timer{} // so that the queue does not retain the request
 	*q = old[:len(old)-1]
 	return last
 }
 
 // schedule makes a request pending again at the given time (ms). If req is nil, the rules are only applied.
 func (inst *Instance) schedule(at float64, req *request) {
+	if len(inst.timers.queue) >= max(inst.timers.pruneAt, minTimersToPrune) {
+		inst.timers.prune()
+	}
 	heap.Push(&inst.timers.queue, timer{at, req})
 }
 
+// prune removes the timers of ended requests, which have no effect. The next pruning follows when the queue has doubled, so
+// that its cost for each timer is constant.
+func (t *timers) prune() {
+	t.queue = slices.DeleteFunc(t.queue, func(next timer) bool { return next.request != nil && next.request.ended })
+	heap.Init(&t.queue)
+	t.pruneAt = 2 * len(t.queue)
+}
+
 func (inst *Instance) timerDue() bool {
 	return len(inst.timers.queue) > 0 && inst.timers.queue[0].at <= inst.now
 }
