Count keys by their hash, and let ended requests go of their keys

Cause: policy/exposure.go, countKey: popularKeys was a map by the text of the key, bounded to 16,384 entries and not in bytes. A key is a part of the request line, which it keeps in memory: up to 16 KiB each, 268 MB in all. policy/routing.go kept the key of an ended request for as long as a timer held the request.

Change: popularKeys is a map by exposure.Key, the hash that affinity uses; the key of a request is dropped when the request ends.

--- a/policy/config.go
+++ b/policy/config.go
@@ -121,7 +121,7 @@
 
 		admission:         admission.NewThrottle(),
 		unprobedAdmission: admission.NewThrottle(),
-		popularKeys:       map[string]float64{},
+		popularKeys:       map[exposure.Key]float64{},
 		affinity:          exposure.NewAffinity(),
 
 		queueRetryAt: math.Inf(1),
--- a/policy/events.go
+++ b/policy/events.go
@@ -83,7 +83,7 @@
 	inst.requestCount++
 	if inst.exposureConfig.KeyAffinity {
 		req.affinityKey = exposure.KeyOf(incoming.Key)
-		inst.countKey(incoming.Key)
+		inst.countKey(req.affinityKey)
 	}
 	if !incoming.Retry {
 		inst.arrivals.Add(now)
--- a/policy/exposure.go
+++ b/policy/exposure.go
@@ -2,6 +2,7 @@
 
 import (
 	"onyxgate/policy/endpoints"
+	"onyxgate/policy/exposure"
 	"onyxgate/policy/release"
 )
 
@@ -116,9 +117,10 @@
 	return !limited || limit > 0
 }
 
-// countKey counts a request for the popularity of its key.
-func (inst *Instance) countKey(key string) {
-	if key == "" {
+// countKey counts a request for the popularity of its key. Keys are counted by their hashes: clients choose the keys, and a
+// key may be as long as a request head.
+func (inst *Instance) countKey(key exposure.Key) {
+	if key == 0 {
 		return
 	}
 	inst.popularKeys[key]++
--- a/policy/instance.go
+++ b/policy/instance.go
@@ -78,7 +78,7 @@
 	allowance      *exposure.Allowance
 	affinity       *exposure.Affinity
 	skipped        SkippedBackends
-	popularKeys    map[string]float64 // number of recent requests by key
+	popularKeys    map[exposure.Key]float64 // number of recent requests by key
 
 	// Rollout of the newest release.
 	rolloutConfig RolloutConfig
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -5,6 +5,7 @@
 
 	"onyxgate/policy/balance"
 	"onyxgate/policy/endpoints"
+	"onyxgate/policy/exposure"
 	"onyxgate/policy/health"
 )
 
@@ -56,7 +57,7 @@
 		arm = rolloutArm
 	}
 	unassigned := req.affinityKey != 0 && inst.fleet.rolloutCap < 1 && inst.oldestAllowedRelease(req) < inst.fleet.rolloutRelease
-	if unassigned && inst.isPopular(req.key) {
+	if unassigned && inst.isPopular(req.affinityKey) {
 		arm = stableArm
 	}
 	index := inst.pickCandidate(req, arm)
@@ -68,7 +69,7 @@
 }
 
 // isPopular reports whether a key has too large a share of the requests to get affinity to a release under a cap.
-func (inst *Instance) isPopular(key string) bool {
+func (inst *Instance) isPopular(key exposure.Key) bool {
 	return inst.popularKeys[key] > minPopularRequests+maxKeyShareOfCap*inst.fleet.rolloutCap*inst.requestCount
 }
 
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -198,6 +198,7 @@
 // has no open attempt.
 func (inst *Instance) cancelOpenAttempts(req *request) {
 	req.ended = true
+	req.key = "" // a timer may hold the ended request, and the key may be long
 	if req.openAttempts == 0 {
 		delete(inst.requests, req.id)
 		return
