Answer heads of more than 100 fields with 431, before they are parsed

Cause: maxHeadBytes in server.go limits a head by its bytes; net/http's map of parsed fields takes up to a hundred times as much, also for heads that never end. Ruled out: the strings themselves (one field of 15 KiB takes 15 KiB).

--- a/internal/httpwire/eviction.go
+++ b/internal/httpwire/eviction.go
@@ -134,7 +134,7 @@
 	}
 	conn.removeFromList()
 	// Read holds the same lock, so it either reads the bytes before this check or sees the mark after it.
-	conn.evicted = hasNoUnreadData(conn.Conn)
+	conn.evicted = !conn.hasUnread()
 	return conn, conn.evicted
 }
 
--- a/internal/httpwire/helpers_test.go
+++ b/internal/httpwire/helpers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -205,3 +206,11 @@
 
 // validRequest is a valid request of class look.
 const validRequest = "GET /look/k1?q=1 HTTP/1.1\r\nHost: h\r\nReq-Id: r1\r\nReq-Deadline: 2000m\r\nX-Other: o\r\n\r\n"
+
+// heapBytes returns the size of the live heap.
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/httpwire/incomplete.go
+++ b/internal/httpwire/incomplete.go
@@ -21,6 +21,9 @@
 // incompleteHeadText is the body of the response to a request whose head did not arrive in time.
 const incompleteHeadText = "head cut off"
 
+// tooManyFieldsText is the body of the response to a request whose head has more than maxHeadFields.
+const tooManyFieldsText = "too many header fields"
+
 // headAnswerTimeout limits writing the answer to an incomplete head. The answer fits into the socket's buffer.
 const headAnswerTimeout = time.Second
 
@@ -40,7 +43,7 @@
 			return false
 		}
 		conn.removeFromList()
-		if hasNoUnreadData(conn.Conn) {
+		if !conn.hasUnread() {
 			conn.reject()
 			s.incompleteRejected++
 			return true
@@ -50,6 +53,9 @@
 	return false
 }
 
+// hasUnread reports whether bytes of the client, or its close, have not been passed on by Read. sockets.mu must be held.
+func (c *trackedConn) hasUnread() bool { return len(c.early) > 0 || !hasNoUnreadData(c.Conn) }
+
 // RejectAllIncomplete rejects all requests that are incomplete. It may miss some on which bytes have just arrived.
 func (s *Sockets) RejectAllIncomplete() {
 	for s.rejectIncomplete(0) {
@@ -84,8 +90,18 @@
 	c.headIncomplete = false
 }
 
+// ExpectBody records that the body of a request follows, whose length is given in bytes. The connection may be nil.
+func (s *Sockets) ExpectBody(c *trackedConn, length int64) {
+	if c == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.bodyLeft = length
+}
+
 // answerIncompleteHead answers a request whose head can't be read any further because of err, and closes the connection:
-// with 503 if it was rejected, and with 408 if it took too long. After any other error there is nobody to answer. It must
+// with 503 if it was rejected, with 431 if it has too many fields, and with 408 if it took too long. After any other error there is nobody to answer. It must
 // be called by the goroutine that reads the head: at that time nothing else is written to the connection. The close also
 // keeps net/http from answering a second time, as it does if the head breaks off within a line.
 func (c *trackedConn) answerIncompleteHead(err error) {
@@ -93,13 +109,20 @@
 	wasIncomplete, rejected := c.headIncomplete, c.rejected
 	c.headIncomplete = false
 	c.sockets.mu.Unlock()
-	isLate := errors.Is(err, os.ErrDeadlineExceeded)
-	if !wasIncomplete || !rejected && !isLate {
+	if !wasIncomplete {
 		return
 	}
-	status, text := http.StatusRequestTimeout, incompleteHeadText
-	if rejected {
+	var status int
+	var text string
+	switch {
+	case rejected:
 		status, text = http.StatusServiceUnavailable, rejectedText
+	case errors.Is(err, errTooManyFields):
+		status, text = http.StatusRequestHeaderFieldsTooLarge, tooManyFieldsText
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status, text = http.StatusRequestTimeout, incompleteHeadText
+	default:
+		return
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(headAnswerTimeout))
 	// If the write fails, the client has closed the connection.
--- a/internal/httpwire/requestbody.go
+++ b/internal/httpwire/requestbody.go
@@ -15,6 +15,7 @@
 		return body, nil
 	}
 	conn := connOf(r)
+	f.sockets.ExpectBody(conn, length)
 	controller := http.NewResponseController(w)
 	// The server's own connections support deadlines: an error means that the connection is closed, and then the read
 	// fails too.
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -124,8 +124,9 @@
 		return
 	}
 	switch {
-	case !c.betweenRequests:
-		// The server's check whether the client has disconnected has already read the first byte of the next request.
+	case !c.betweenRequests || len(c.early) > 0:
+		// A part of the next request has already been read, by the server's check whether the client has disconnected or
+		// together with the head of the request before.
 		c.addTo(s.receivingConns)
 	case isNew:
 		c.addTo(s.newConns)
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -32,8 +32,13 @@
 	closed          bool
 	evicted         bool          // found idle and about to be closed; no more bytes are read
 	rejected        bool          // its incomplete request is rejected to make room; no more bytes are read
+	tooManyFields   bool          // the head of the current request has more than maxHeadFields; no more bytes are read
 	headIncomplete  bool          // the head of the current request has begun to arrive and is not complete
 	betweenRequests bool          // no byte of the next request has been read
+	head            headScanner   // of the current request
+	bodyLeft        int64         // bytes of the current request's body that have not been read
+	early           []byte        // bytes read from the socket together with the end of a head, and not yet returned by Read
+	earlySince      time.Time     // when they were read
 	requestStart    time.Time     // when the first byte of the request arrived; zero: not observed
 	maxBacklogWait  time.Duration // upper limit of the time that bytes of the first request have spent in the backlog
 	inList          *list.List    // the list of Sockets that holds the connection; nil: none
@@ -55,22 +60,59 @@
 	}
 }
 
-// onRead records that n bytes of a client's request were read, which had been waiting for the given time. sockets.mu must
-// be held.
-func (c *trackedConn) onRead(n int, waited time.Duration) {
-	if n <= 0 {
-		return
-	}
-	if c.betweenRequests {
-		c.betweenRequests, c.headIncomplete, c.requestStart = false, true, time.Now().Add(-waited)
-		c.maxBacklogWait = 0
-	}
+// onRequestStart records that the first byte of a client's request was read, which had been waiting for the given time.
+// sockets.mu must be held.
+func (c *trackedConn) onRequestStart(waited time.Duration) {
+	c.betweenRequests, c.headIncomplete, c.requestStart = false, true, time.Now().Add(-waited)
+	c.maxBacklogWait = 0
+	c.head = headScanner{}
 	if c.element != nil && c.inList != c.sockets.receivingConns {
 		c.removeFromList()
 		c.addTo(c.sockets.receivingConns)
 	}
 }
 
+// onRead records that the bytes b of a client's request were read, which had been waiting for the given time. It returns how
+// many of them Read returns now: never bytes beyond the end of a head, which are kept in c.early. The next head is then
+// counted from its first byte, whatever it arrived with. sockets.mu must be held.
+func (c *trackedConn) onRead(b []byte, waited time.Duration) (n int) {
+	if len(b) == 0 {
+		return 0
+	}
+	if c.betweenRequests {
+		c.onRequestStart(waited)
+	}
+	if !c.headIncomplete || c.head.complete {
+		c.bodyLeft = max(c.bodyLeft-int64(len(b)), 0)
+		return len(b)
+	}
+	n = c.head.scan(b)
+	if n < len(b) {
+		c.early, c.earlySince = append([]byte(nil), b[n:]...), time.Now()
+	}
+	c.tooManyFields = c.head.fields() > maxHeadFields
+	return n
+}
+
+// takeEarly moves bytes that were read too early to b, as if they had just been read. sockets.mu must be held.
+func (c *trackedConn) takeEarly(b []byte) (n int) {
+	n = copy(b, c.early)
+	c.early = c.early[n:]
+	if len(c.early) == 0 {
+		c.early = nil
+	}
+	return n
+}
+
+// wanted returns the part of b that may be filled: no bytes beyond the end of a body, because the next head begins there.
+// sockets.mu must be held.
+func (c *trackedConn) wanted(b []byte) []byte {
+	if c.bodyLeft > 0 && int64(len(b)) > c.bodyLeft {
+		return b[:c.bodyLeft]
+	}
+	return b
+}
+
 // Read ends the idle state of a client connection when a request begins to arrive. From then on the connection
 // must not be closed to make room: the request could be complete before the close arrives, and would be lost. Therefore
 // bytes are read from a client's socket under the same lock under which the connection is found idle and evicted.
@@ -83,16 +125,21 @@
 	} else {
 		n, err = c.readRaw(b)
 	}
+	if err == nil {
+		err = c.checkHead()
+	}
 	if err != nil {
 		c.answerIncompleteHead(err)
+		return 0, err
 	}
-	return n, err
+	return n, nil
 }
 
 // readRaw reads from a client's socket.
 func (c *trackedConn) readRaw(b []byte) (n int, err error) {
+	var read int
 	waitErr := c.rawConn.Read(func(fd uintptr) (done bool) {
-		n, err = c.readSocket(int(fd), b)
+		read, n, err = c.readSocket(int(fd), b)
 		return !errors.Is(err, syscall.EAGAIN) // on EAGAIN, wait until the socket is readable
 	})
 	switch {
@@ -100,7 +147,7 @@
 		return 0, waitErr
 	case err != nil:
 		return 0, err
-	case n == 0 && len(b) > 0:
+	case read == 0 && len(b) > 0:
 		return 0, io.EOF
 	}
 	return n, nil
@@ -108,26 +155,36 @@
 
 // readPlain reads from a client connection that is not a socket.
 func (c *trackedConn) readPlain(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	c.sockets.mu.Lock()
+	b = c.wanted(b)
+	read := c.takeEarly(b)
+	c.sockets.mu.Unlock()
+	var err error
+	if read == 0 {
+		read, err = c.Conn.Read(b)
+	}
 	c.sockets.mu.Lock()
 	defer c.sockets.mu.Unlock()
-	c.onRead(n, c.maxBacklogWait)
-	return n, err
+	return c.onRead(b[:read], c.maxBacklogWait), err
 }
 
-// readSocket reads the bytes available on a client's socket without blocking. It fails if the connection was evicted or
-// its request rejected.
-func (c *trackedConn) readSocket(fd int, b []byte) (n int, err error) {
+// readSocket reads the bytes available on a client's socket without blocking, and returns their number and how many of them
+// Read returns now. It fails if the connection was evicted or its request rejected.
+func (c *trackedConn) readSocket(fd int, b []byte) (read, n int, err error) {
 	c.sockets.mu.Lock()
 	defer c.sockets.mu.Unlock()
 	if c.evicted {
-		return 0, net.ErrClosed
+		return 0, 0, net.ErrClosed
 	}
 	if c.rejected {
-		return 0, os.ErrDeadlineExceeded
+		return 0, 0, os.ErrDeadlineExceeded
+	}
+	b = c.wanted(b)
+	if read = c.takeEarly(b); read > 0 {
+		return read, c.onRead(b[:read], time.Since(c.earlySince)), nil
 	}
 	for {
-		n, err = syscall.Read(fd, b)
+		read, err = syscall.Read(fd, b)
 		if !errors.Is(err, syscall.EINTR) {
 			break
 		}
@@ -135,12 +192,27 @@
 	if errors.Is(err, syscall.EAGAIN) {
 		c.maxBacklogWait = 0 // what arrives from now on has not been in the backlog
 	}
-	if startsRequest := n > 0 && c.betweenRequests; startsRequest {
-		c.onRead(n, c.unreadWait(fd))
-		return n, err
+	if err != nil || read <= 0 {
+		return read, 0, err
+	}
+	waited := time.Duration(0)
+	if c.betweenRequests {
+		waited = c.unreadWait(fd)
+	}
+	return read, c.onRead(b[:read], waited), nil
+}
+
+// errTooManyFields ends the reading of a head with more than maxHeadFields.
+var errTooManyFields = errors.New("too many header fields")
+
+// checkHead fails if the head of the current request has too many fields.
+func (c *trackedConn) checkHead() error {
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	if c.tooManyFields {
+		return errTooManyFields
 	}
-	c.onRead(n, 0)
-	return n, err
+	return nil
 }
 
 // SetReadDeadline allows less time for the head of the first request on a client connection than the server sets: the
