Reserve memory for large heads, bodies and responses before allocating it

Cause: readBody in requestbody.go allocated the announced length before a byte of the body had come; Front.bodyBytes counted a body only after it had been read whole. Large heads, the copies of attemptRequest, responses in upstreamresponse.go that nobody reads, and the connections themselves were counted nowhere. Ruled out: garbage alone (10 MB without the misbehaving clients) and the kernel's buffers (not in RssAnon).

A large body is written from where it is, not copied for each attempt. A response without memory waits for it instead of counting against its backend. Go's own limit is 0.7 of the memory limit (was 0.6).

Tests: MaxBodyBytes is gone; the two tests that forced its rejection now force that of the limit on open requests, which takes the same way to the same answer.

--- a/internal/assembly/assembly.go
+++ b/internal/assembly/assembly.go
@@ -51,6 +51,7 @@
 	config    effectiveConfig
 	listener  net.Listener
 	sockets   *httpwire.Sockets
+	memory    *httpwire.Memory
 	core      *core.Core
 	discovery *httpwire.Discovery
 	platform  *httpwire.Platform
@@ -95,6 +96,8 @@
 		return nil, err
 	}
 	s.sockets = httpwire.NewSockets(s.config.sockets)
+	s.memory = httpwire.NewMemory(s.config.memoryBytes())
+	s.sockets.LimitMemory(s.memory)
 	s.makeControlClients()
 	s.makeUpstream()
 	s.makeFront()
@@ -183,7 +186,6 @@
 		Classes:         s.config.classes,
 		CancelAllowed:   siteconfig.CancelAllowed(s.config.settings),
 		MaxOpenRequests: siteconfig.MaxOpenRequests(s.config.settings),
-		MaxBodyBytes:    s.config.bodyBytes(),
 	})
 }
 
--- a/internal/assembly/configuration.go
+++ b/internal/assembly/configuration.go
@@ -69,21 +69,13 @@
 
 const (
 	bytesPerMB = 1 << 20
-	// defaultBodyBytes limits the memory for request bodies if the configuration sets no memory limit.
-	defaultBodyBytes = 1 << 30
 	// gcPercent is only moderately above Go's default of 100: at some hundreds of requests per second, the live heap is
 	// small and its collection cheap. With a higher value, peaks of the heap could be mistaken for growth.
 	gcPercent = 150
 )
 
-// bodyBytes returns the limit on memory for request bodies: a quarter of the memory limit, or defaultBodyBytes if
-// there is none.
-func (c effectiveConfig) bodyBytes() int64 {
-	if c.memoryMB > 0 {
-		return int64(c.memoryMB) * bytesPerMB / 4
-	}
-	return defaultBodyBytes
-}
+// memoryBytes returns the limit on the memory of the process; 0 means no limit.
+func (c effectiveConfig) memoryBytes() int64 { return int64(c.memoryMB) * bytesPerMB }
 
 // limitProcess applies the configured core and memory limits to the Go runtime.
 func (c effectiveConfig) limitProcess() {
@@ -91,8 +83,8 @@
 		runtime.GOMAXPROCS(cores)
 	}
 	if c.memoryMB > 0 {
-		// The other 40% are a reserve for stacks, the program itself and garbage that is collected late.
-		debug.SetMemoryLimit(int64(c.memoryMB) * bytesPerMB * 6 / 10)
+		// The rest is a reserve for the program itself and for garbage that is collected late.
+		debug.SetMemoryLimit(int64(c.memoryMB) * bytesPerMB * 7 / 10)
 		debug.SetGCPercent(gcPercent)
 	}
 }
--- a/internal/assembly/metrics.go
+++ b/internal/assembly/metrics.go
@@ -43,6 +43,13 @@
 	{"onyxgate_incomplete_requests_rejected_total", "requests rejected before they were complete, to make room for others", func(u httpwire.SocketUsage) float64 { return float64(u.IncompleteRejected) }},
 }
 
+var memoryMetrics = []metric[httpwire.MemoryUsage]{
+	{"onyxgate_reserved_memory_bytes", "memory reserved for large heads, bodies and responses", func(u httpwire.MemoryUsage) float64 { return float64(u.Used) }},
+	{`onyxgate_memory_reservations_total{result="waited"}`, "reservations that had to wait for memory", func(u httpwire.MemoryUsage) float64 { return float64(u.Waited) }},
+	{`onyxgate_memory_reservations_total{result="refused"}`, "reservations refused after they had waited", func(u httpwire.MemoryUsage) float64 { return float64(u.Refused) }},
+	{`onyxgate_memory_reservations_total{result="taken_back"}`, "reservations taken back from incomplete requests and from clients that do not read", func(u httpwire.MemoryUsage) float64 { return float64(u.Evicted) }},
+}
+
 var releaseMetrics = []metric[core.Counts]{
 	{"onyxgate_release_newest", "number of the newest release", func(n core.Counts) float64 { return float64(n.Releases.Newest.Release) }},
 	{"onyxgate_release_stage", "stage of the newest release", func(n core.Counts) float64 { return float64(n.Releases.Newest.Stage) }},
@@ -113,6 +120,7 @@
 	register(meter, requestMetrics, s.core.Counts)
 	register(meter, releaseMetrics, s.core.Counts)
 	register(meter, socketMetrics, s.sockets.Usage)
+	register(meter, memoryMetrics, s.memory.Usage)
 	if s.sources != nil {
 		register(meter, sourceMetrics, s.sources.Counts)
 		register(meter, rulesMetrics(), s.sources.Counts)
--- a/internal/assembly/report.go
+++ b/internal/assembly/report.go
@@ -47,6 +47,7 @@
 	n := s.core.Counts()
 	opened, idle, withoutSocket := s.upstream.Connections()
 	sockets := s.sockets.Usage()
+	memory := s.memory.Usage()
 	version, listed := s.discovery.Version()
 	logrus.WithFields(logrus.Fields{
 		"cpu_ms":   cpuMs(),
@@ -55,7 +56,9 @@
 		"attempts_open": n.OpenAttempts, "attempts_ended": fmt.Sprint(n.AttemptsByStatus[policy.StatusServed:]), "attempts_withheld": n.AttemptsWithheld,
 		"sockets": sockets.Open, "client_connections": sockets.Clients, "client_connections_idle": sockets.IdleClients,
 		"client_connections_receiving": sockets.ReceivingClients, "accept_blocked_ms": sockets.AcceptBlocked.Milliseconds(),
-		"incomplete_rejected":        sockets.IncompleteRejected,
+		"incomplete_rejected":   sockets.IncompleteRejected,
+		"memory_reserved_bytes": memory.Used, "memory_reserved_peak_bytes": memory.Peak,
+		"memory_waited": memory.Waited, "memory_refused": memory.Refused, "memory_taken_back": memory.Evicted,
 		"backend_connections_opened": opened, "backend_connections_idle": idle, "attempts_without_socket": withoutSocket,
 		"list_version": version, "backends": listed,
 		"timers": n.Timers, "invariant_violations": invariant.Violations(),
--- a/internal/httpwire/answers_test.go
+++ b/internal/httpwire/answers_test.go
@@ -89,7 +89,7 @@
 	panics := func(instance *testInstance) {
 		instance.upstream.address = func(string) string { panic("injected panic") }
 	}
-	noRoom := func(instance *testInstance) { instance.front.maxBodyBytes = -1 }
+	noRoom := func(instance *testInstance) { instance.front.maxOpenRequests = -1 }
 	return []answerCase{
 		{name: "served", text: validRequest, backend: served},
 		{name: "served, without a type", text: validRequest, backend: untyped},
--- a/internal/httpwire/attempt.go
+++ b/internal/httpwire/attempt.go
@@ -29,10 +29,19 @@
 // Bytes returns the body.
 func (r clientResponse) Bytes() []byte { return r.body }
 
-// SendAttempt sends one attempt of a request to its backend and reports the result with attempt.Finish. The head must
-// come from requestHead. SendAttempt returns after the response, a connection failure, cancellation or a timeout.
-func (u *Upstream) SendAttempt(attempt *core.Attempt, head, body []byte) {
-	status, r, err := u.send(attempt, head, body)
+// outgoingRequest is a request as it is sent to backends.
+type outgoingRequest struct {
+	head []byte // from requestHead
+	body []byte
+	held *reservation // memory of the request and of the responses to it
+}
+
+// SendAttempt sends one attempt of a request to its backend and reports the result with attempt.Finish. It returns after
+// the response, a connection failure, cancellation or a timeout.
+func (u *Upstream) SendAttempt(attempt *core.Attempt, request outgoingRequest) {
+	request.held.retain()
+	defer request.held.release()
+	status, r, err := u.send(attempt, request)
 	traceAttempt(attempt, status, err)
 	var report policy.LoadReport
 	if u.loadOnResponses && r.loadReport != "" {
@@ -42,12 +51,14 @@
 }
 
 // send sends one attempt and returns its status, with the response or the error.
-func (u *Upstream) send(attempt *core.Attempt, head, body []byte) (policy.AttemptStatus, upstreamResponse, error) {
+func (u *Upstream) send(attempt *core.Attempt, request outgoingRequest) (policy.AttemptStatus, upstreamResponse, error) {
 	c, err := u.connect(attempt)
 	if err != nil {
 		return unsentStatus(err), upstreamResponse{}, err
 	}
-	r, err := c.roundTrip(u.attemptRequest(attempt, head, body))
+	c.held = request.held
+	r, err := c.roundTrip(u.attemptRequest(attempt, request)...)
+	c.held = nil
 	canceled, timedOut := attempt.SetCanceler(nil)
 	c.setReadTimeout(0)
 	interrupted := canceled || timedOut
@@ -89,16 +100,25 @@
 	return c, nil
 }
 
-// attemptRequest returns the complete request to send: the head, the time left until the deadline, and the body.
-func (u *Upstream) attemptRequest(attempt *core.Attempt, head, body []byte) []byte {
+// attemptRequest returns the complete request to send: the head, the time left until the deadline, and the body. A large
+// body is a part of its own, so that it is not copied for each attempt.
+func (u *Upstream) attemptRequest(attempt *core.Attempt, request outgoingRequest) (parts [][]byte) {
 	const deadlineRoom = 40 // for the Req-Deadline line
 	leftMs := max(int64(attempt.Deadline-u.core.Now()), 1)
-	request := make([]byte, 0, len(head)+len(body)+deadlineRoom)
-	request = append(request, head...)
-	request = append(request, "Req-Deadline: "...)
-	request = strconv.AppendInt(request, leftMs, 10)
-	request = append(request, "m\r\n\r\n"...)
-	return append(request, body...)
+	isLarge := len(request.body) > freeBodyBytes
+	room := len(request.head) + deadlineRoom
+	if !isLarge {
+		room += len(request.body)
+	}
+	first := make([]byte, 0, room)
+	first = append(first, request.head...)
+	first = append(first, "Req-Deadline: "...)
+	first = strconv.AppendInt(first, leftMs, 10)
+	first = append(first, "m\r\n\r\n"...)
+	if isLarge {
+		return [][]byte{first, request.body}
+	}
+	return [][]byte{append(first, request.body...)}
 }
 
 // unsentStatus returns the status of an attempt that was not sent. Causes that lie in this instance must not count as a
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -30,21 +30,29 @@
 type conn struct {
 	net.Conn
 	in        *bufio.Reader
-	pool      *pool  // nil for a connection to the platform
-	probeBody []byte // body of the last response if it answered a probe with status 200
+	held      *reservation // memory of the request whose response is being read; nil: none
+	pool      *pool        // nil for a connection to the platform
+	probeBody []byte       // body of the last response if it answered a probe with status 200
 	idleSince time.Time
 
-	mu       sync.Mutex // serializes Cancel and setReadTimeout
-	canceled bool
+	mu          sync.Mutex // serializes Cancel and setReadTimeout
+	canceled    bool
+	interrupted chan struct{} // closed by Cancel
 }
 
-func newConn(c net.Conn) *conn { return &conn{Conn: c, in: bufio.NewReader(c)} }
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, in: bufio.NewReader(c), interrupted: make(chan struct{})}
+}
 
 // Cancel interrupts the call in progress. The connection can't be used afterwards.
 func (c *conn) Cancel() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.canceled {
+		return
+	}
 	c.canceled = true
+	close(c.interrupted)
 	_ = c.SetDeadline(expiredDeadline) // fails only on a closed connection, whose calls have ended
 }
 
@@ -62,11 +70,13 @@
 	_ = c.SetReadDeadline(deadline) // fails only on a closed connection, and then Read fails too
 }
 
-// roundTrip writes one request and reads its whole response. An error that wraps errNotWritten proves that the request
+// roundTrip writes the parts of one request and reads its whole response. An error that wraps errNotWritten proves that the request
 // was not run; after any other error it may have been run. With an error, the response holds what was parsed before it.
-func (c *conn) roundTrip(request []byte) (upstreamResponse, error) {
-	if n, err := c.Write(request); n < len(request) {
-		return upstreamResponse{}, fmt.Errorf("%w: %w", errNotWritten, err)
+func (c *conn) roundTrip(request ...[]byte) (upstreamResponse, error) {
+	for _, part := range request {
+		if n, err := c.Write(part); n < len(part) {
+			return upstreamResponse{}, fmt.Errorf("%w: %w", errNotWritten, err)
+		}
 	}
 	for range maxInterimResponses {
 		if err := c.awaitResponse(); err != nil {
--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -23,8 +23,6 @@
 	CancelAllowed bool
 	// MaxOpenRequests is the number of open requests above which further requests are rejected; 0 means no limit.
 	MaxOpenRequests int
-	// MaxBodyBytes is the total size of the bodies of open requests above which further requests are rejected.
-	MaxBodyBytes int64
 }
 
 // Front serves clients and gives each request exactly one response, unless the client has gone. Invalid requests never
@@ -36,15 +34,13 @@
 	sockets         *Sockets
 	classes         map[string]class // by name
 	cancelAllowed   bool
-	maxOpenRequests int   // 0: no limit
-	maxBodyBytes    int64 // total of all open requests
+	maxOpenRequests int // 0: no limit
 
 	ready           atomic.Bool
 	started         chan struct{} // closed by SetReady; nil: requests are not held until then
 	shuttingDown    atomic.Bool   // no longer ready, but requests are served
 	closingConns    atomic.Bool   // connections are closed after their request
 	openRequests    atomic.Int64  // requests between the end of their head and the end of their response
-	bodyBytes       atomic.Int64  // total size of the bodies of open requests
 	invalidRequests atomic.Int64
 	clientsLeft     atomic.Int64 // requests whose client had left before they were handled
 	startedAt       time.Time
@@ -63,8 +59,7 @@
 	f := &Front{
 		core: config.Core, upstream: config.Upstream, sockets: config.Sockets,
 		classes: map[string]class{}, cancelAllowed: config.CancelAllowed,
-		maxOpenRequests: config.MaxOpenRequests, maxBodyBytes: config.MaxBodyBytes,
-		startedAt: time.Now(),
+		maxOpenRequests: config.MaxOpenRequests, startedAt: time.Now(),
 	}
 	longestTimeout := 0.0
 	for i, name := range config.ClassNames {
--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -20,13 +20,16 @@
 // serveRequest handles one request, whose first byte arrived at arrivedAt (ms of the core's clock), up to its response.
 func (f *Front) serveRequest(w http.ResponseWriter, r *http.Request, path string, arrivedAt float64) {
 	defer f.beginRequest()()
+	held := f.requestMemory(connOf(r))
+	defer held.release()
 	parsed, err := f.parseRequest(r, path)
 	if err != nil {
 		f.writeInvalidRequest(w, err)
 		return
 	}
 	deadline := arrivedAt + parsed.timeLeft
-	body, err := f.readBody(w, r, parsed.bodyBytes, deadline)
+	queueEnd := policy.QueueDeadline(arrivedAt, deadline)
+	body, err := f.readBody(w, r, bodyLimits{parsed.bodyBytes, deadline, queueEnd, held})
 	if errors.Is(err, errNoRoom) {
 		writeUnread(w, err)
 		return
@@ -35,10 +38,9 @@
 		f.writeInvalidRequest(w, err)
 		return
 	}
-	openBodyBytes := f.bodyBytes.Add(int64(len(body)))
-	defer f.bodyBytes.Add(-int64(len(body)))
-	rejectReason := f.rejectReason(parsed.id, openBodyBytes)
-	if rejectReason == "" && !f.awaitStart(r.Context(), policy.QueueDeadline(arrivedAt, deadline)) {
+	held.setNeeded()
+	rejectReason := f.rejectReason(parsed.id)
+	if rejectReason == "" && !f.awaitStart(r.Context(), queueEnd) {
 		rejectReason = rejectStarting
 	}
 	conn := connOf(r)
@@ -48,8 +50,8 @@
 		return
 	}
 
-	head := requestHead(r, len(body))
-	send := func(attempt *core.Attempt) { f.upstream.SendAttempt(attempt, head, body) }
+	outgoing := outgoingRequest{requestHead(r, len(body)), body, held}
+	send := func(attempt *core.Attempt) { f.upstream.SendAttempt(attempt, outgoing) }
 	request := f.core.Accept(core.IncomingRequest{
 		ID: parsed.id, Key: parsed.key, IdempotencyKey: parsed.idempotencyKey, Class: parsed.class.index, Retry: parsed.retry,
 		ArrivedAt: arrivedAt, TimeLeft: parsed.timeLeft, RejectReason: rejectReason, StartAttempt: send,
@@ -61,21 +63,26 @@
 	}
 	traceAccepted(request, parsed)
 	h := &requestHandler{
-		request: request, response: responseWriter{writer: w, request: request}, send: send, cancelAllowed: f.cancelAllowed,
+		request: request, response: responseWriter{writer: w, request: request, conn: conn, held: held}, send: send, cancelAllowed: f.cancelAllowed,
 	}
 	h.run(r.Context())
 }
 
-// rejectReason returns the reason to reject a request that exceeds the front's limits, or "". The request's body already
-// counts in openBodyBytes.
-func (f *Front) rejectReason(id string, openBodyBytes int64) string {
+// requestMemory returns the reservation of a request whose head has been read. The caller must release it.
+func (f *Front) requestMemory(conn *trackedConn) *reservation {
+	if held := conn.takeMemory(); held != nil {
+		return held
+	}
+	return f.sockets.memory.newReservation()
+}
+
+// rejectReason returns the reason to reject a request that exceeds the front's limit on open requests, or "".
+func (f *Front) rejectReason(id string) string {
 	openRequests := f.openRequests.Load()
-	tooManyRequests := f.maxOpenRequests > 0 && openRequests > int64(f.maxOpenRequests)
-	if openBodyBytes <= f.maxBodyBytes && !tooManyRequests {
+	if f.maxOpenRequests == 0 || openRequests <= int64(f.maxOpenRequests) {
 		return ""
 	}
-	logrus.WithFields(logrus.Fields{"request": id, "open_requests": openRequests, "body_bytes": openBodyBytes}).
-		Warn("no room for a request")
+	logrus.WithFields(logrus.Fields{"request": id, "open_requests": openRequests}).Warn("no room for a request")
 	return rejectNoRoom
 }
 
--- a/internal/httpwire/headscan.go
+++ b/internal/httpwire/headscan.go
@@ -2,9 +2,23 @@
 
 import "bytes"
 
-// maxHeadFields is the largest number of header fields of a request. Each field costs some hundred bytes once it is
-// parsed, however short it is, so the limit on the head's size alone does not bound its memory.
-const maxHeadFields = 100
+const (
+	// maxHeadFields is the largest number of header fields of a request. Each field costs some hundred bytes once it is
+	// parsed, however short it is, so the limit on the head's size alone does not bound its memory.
+	maxHeadFields = 100
+
+	// freeHeadBytes and freeHeadFields are the size up to which a head needs no reservation.
+	freeHeadBytes  = 2 << 10
+	freeHeadFields = 32
+
+	// headByteCost and headFieldCost are the memory (bytes) for each byte and each field of a head: the raw lines, the parsed
+	// strings, the map and the head that is sent to a backend.
+	headByteCost  = 3
+	headFieldCost = 256
+
+	// maxHeadCost is the memory of the largest head. net/http reads up to 4 KiB more than maxHeadBytes.
+	maxHeadCost = headByteCost*(maxHeadBytes+4<<10) + headFieldCost*maxHeadFields
+)
 
 // headScanner finds the end of a request head in the bytes as they arrive, and counts its fields. The zero value is ready to
 // scan a head.
@@ -54,3 +68,14 @@
 
 // fields returns the number of complete header fields. The first line is the request line.
 func (s *headScanner) fields() int { return max(s.lines-1, 0) }
+
+// isSmall reports whether the head needs no reservation so far.
+func (s *headScanner) isSmall() bool { return s.bytes <= freeHeadBytes && s.fields() <= freeHeadFields }
+
+// cost returns the memory (bytes) that the head needs beyond the free size.
+func (s *headScanner) cost() int64 {
+	if s.isSmall() {
+		return 0
+	}
+	return int64(headByteCost*s.bytes + headFieldCost*s.fields())
+}
--- a/internal/httpwire/headscan_test.go
+++ b/internal/httpwire/headscan_test.go
@@ -85,7 +85,7 @@
 
 // Heads that never end cost no more memory than their connections are counted with.
 func TestMemoryOfIncompleteHeads(t *testing.T) {
-	const clients, bytesPerConnection = 100, 32 << 10
+	const clients = 100
 	backend := newFakeBackend(t)
 	l := newLoopback(t, backend.address(), dialTCP, true)
 	before := heapBytes()
@@ -95,7 +95,7 @@
 	}
 	// Rejected connections are closed; others wait for the end of their head.
 	waitUntil(func() bool { u := l.front.sockets.Usage(); return u.Clients == u.ReceivingClients })
-	if grown, allowed := heapBytes()-before, int64(clients*bytesPerConnection); grown > allowed {
+	if grown, allowed := heapBytes()-before, int64(clients*connectionBytes); grown > allowed {
 		t.Errorf("the heap grew by %d bytes for %d incomplete heads, want at most %d", grown, clients, allowed)
 	}
 }
--- a/internal/httpwire/helpers_test.go
+++ b/internal/httpwire/helpers_test.go
@@ -72,7 +72,7 @@
 	instance.discovery.OnAddressVacated(instance.upstream.CloseAddress)
 	instance.front = NewFront(FrontConfig{
 		Core: instance.core, Upstream: instance.upstream, Sockets: sockets, ClassNames: []string{"look", "save", "pay"}, Classes: classes,
-		CancelAllowed: true, MaxBodyBytes: 1 << 20,
+		CancelAllowed: true,
 	})
 	list := listJSON(1, true, `{"id":"s","addr":"app:1","state":"Ready","weight":1,"version_no":1}`)
 	if err := instance.discovery.Apply([]byte(list), FromConfiguration, func() {}); err != nil {
--- a/internal/httpwire/incomplete.go
+++ b/internal/httpwire/incomplete.go
@@ -43,16 +43,35 @@
 			return false
 		}
 		conn.removeFromList()
-		if !conn.hasUnread() {
+		if !conn.isArriving() {
 			conn.reject()
-			s.incompleteRejected++
 			return true
 		}
-		conn.addTo(s.receivingConns) // more of the request has arrived, perhaps all of it
+		conn.addTo(s.receivingConns)
 	}
 	return false
 }
 
+// rejectIncomplete rejects the request on the connection, if it is incomplete and no more of it has arrived, and reports
+// whether its memory will be released soon.
+func (c *trackedConn) rejectIncomplete() (released bool) {
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	if c.closed || c.rejected {
+		return true
+	}
+	if c.betweenRequests || c.isArriving() {
+		return false
+	}
+	c.removeFromList()
+	c.reject()
+	return true
+}
+
+// isArriving reports whether more of the request has arrived, perhaps all of it, and is about to be read. sockets.mu must
+// be held.
+func (c *trackedConn) isArriving() bool { return c.hasUnread() && !c.awaitsMemory }
+
 // hasUnread reports whether bytes of the client, or its close, have not been passed on by Read. sockets.mu must be held.
 func (c *trackedConn) hasUnread() bool { return len(c.early) > 0 || !hasNoUnreadData(c.Conn) }
 
@@ -65,6 +84,8 @@
 // reject makes all reads fail from now on, including one in progress. sockets.mu must be held.
 func (c *trackedConn) reject() {
 	c.rejected = true
+	c.sockets.incompleteRejected++
+	close(c.rejection)
 	_ = c.Conn.SetReadDeadline(expiredDeadline) // fails only on a closed connection, whose reads have ended
 }
 
@@ -86,8 +107,10 @@
 	}
 	c.firstHeadRead = true
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	c.headIncomplete = false
+	held, cost := c.held, c.head.cost()
+	s.mu.Unlock()
+	held.shrinkTo(cost)
 }
 
 // ExpectBody records that the body of a request follows, whose length is given in bytes. The connection may be nil.
@@ -115,7 +138,7 @@
 	var status int
 	var text string
 	switch {
-	case rejected:
+	case rejected || errors.Is(err, errNoRoom):
 		status, text = http.StatusServiceUnavailable, rejectedText
 	case errors.Is(err, errTooManyFields):
 		status, text = http.StatusRequestHeaderFieldsTooLarge, tooManyFieldsText
--- a/internal/httpwire/interceptor_test.go
+++ b/internal/httpwire/interceptor_test.go
@@ -188,7 +188,7 @@
 
 func testNoRoomIntercepted(t *testing.T) {
 	instance, interceptor := intercepted(answerOnce(""))
-	instance.front.maxBodyBytes = -1 // every request exceeds the limit
+	instance.front.maxOpenRequests = -1 // every request exceeds the limit
 	answer, _ := instance.roundTrip(t, validRequest)
 	if answer.StatusCode != 503 {
 		t.Fatalf("status = %d, want 503", answer.StatusCode)
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -76,6 +76,7 @@
 		f.sockets.RequestRead(conn)
 	}
 	if path == healthPath && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
+		defer conn.takeMemory().release()
 		f.writeHealth(w)
 		return
 	}
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -36,7 +36,8 @@
 //
 // Its methods are safe for concurrent use.
 type Sockets struct {
-	limit int // immutable
+	limit  int     // immutable
+	memory *Memory // set before any connection is opened
 	// closeIdleBackend closes one idle connection to a backend and reports whether there was one. NewUpstream sets it
 	// before any connection is opened. It is called without mu held, because closing a tracked connection locks mu.
 	closeIdleBackend func() bool
@@ -65,6 +66,7 @@
 	}
 	return &Sockets{
 		limit:            max(limit-reservedSockets, minSockets),
+		memory:           NewMemory(0),
 		closeIdleBackend: func() bool { return false },
 		sinceLastData:    sinceLastData,
 		newConns:         list.New(),
@@ -73,6 +75,10 @@
 	}
 }
 
+// LimitMemory sets the budget of memory for what clients send, which also limits their connections. It must be called before
+// any connection is opened.
+func (s *Sockets) LimitMemory(memory *Memory) { s.memory = memory }
+
 // SocketUsage describes how the budget is used at one moment.
 type SocketUsage struct {
 	Open             int           // all connections
@@ -99,8 +105,10 @@
 	return usage
 }
 
-// ClientLimit returns the maximum number of client connections.
-func (s *Sockets) ClientLimit() int { return int(maxClientShare * float64(s.limit)) }
+// ClientLimit returns the maximum number of client connections, which both sockets and memory limit.
+func (s *Sockets) ClientLimit() int {
+	return min(int(maxClientShare*float64(s.limit)), s.memory.maxClients)
+}
 
 // Full reports whether the budget is used up, in which case a client connection should close after its request.
 func (s *Sockets) Full() bool {
@@ -183,6 +191,9 @@
 		// Without a raw connection, Read falls back to the Read method of conn.
 		c.rawConn, _ = socket.SyscallConn()
 	}
+	if isClient {
+		c.rejection = make(chan struct{})
+	}
 	c.connectedAt = c.acceptedAt
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -22,6 +22,8 @@
 	acceptedAt  time.Time
 	connectedAt time.Time // of a client connection: earlier than acceptedAt if it waited in the backlog
 
+	rejection chan struct{} // of a client connection: closed when its incomplete request is rejected
+
 	// servedBefore is set once a request has been answered on the connection, firstHeadRead once the head of the first
 	// request has been read. Only the goroutine that serves the connection accesses them.
 	servedBefore  bool
@@ -39,6 +41,9 @@
 	bodyLeft        int64         // bytes of the current request's body that have not been read
 	early           []byte        // bytes read from the socket together with the end of a head, and not yet returned by Read
 	earlySince      time.Time     // when they were read
+	awaitsMemory    bool          // bytes at the socket are not read before memory is reserved for them
+	held            *reservation  // memory of the request that is arriving; nil: none
+	readDeadline    time.Time     // zero: none
 	requestStart    time.Time     // when the first byte of the request arrived; zero: not observed
 	maxBacklogWait  time.Duration // upper limit of the time that bytes of the first request have spent in the backlog
 	inList          *list.List    // the list of Sockets that holds the connection; nil: none
@@ -116,6 +121,8 @@
 // Read ends the idle state of a client connection when a request begins to arrive. From then on the connection
 // must not be closed to make room: the request could be complete before the close arrives, and would be lost. Therefore
 // bytes are read from a client's socket under the same lock under which the connection is found idle and evicted.
+//
+// Read returns the bytes of a large head only once memory is reserved for it.
 func (c *trackedConn) Read(b []byte) (n int, err error) {
 	if !c.isClient {
 		return c.Conn.Read(b)
@@ -126,7 +133,7 @@
 		n, err = c.readRaw(b)
 	}
 	if err == nil {
-		err = c.checkHead()
+		err = c.admitHead()
 	}
 	if err != nil {
 		c.answerIncompleteHead(err)
@@ -205,14 +212,56 @@
 // errTooManyFields ends the reading of a head with more than maxHeadFields.
 var errTooManyFields = errors.New("too many header fields")
 
-// checkHead fails if the head of the current request has too many fields.
-func (c *trackedConn) checkHead() error {
+// admitHead reserves memory for the head of the current request once it is large. It waits until the read deadline at most.
+func (c *trackedConn) admitHead() error {
 	c.sockets.mu.Lock()
-	defer c.sockets.mu.Unlock()
 	if c.tooManyFields {
+		c.sockets.mu.Unlock()
 		return errTooManyFields
 	}
-	return nil
+	if !c.headIncomplete || c.head.isSmall() || c.held != nil {
+		c.sockets.mu.Unlock()
+		return nil
+	}
+	bytes, until := int64(maxHeadCost), c.readDeadline
+	if c.head.complete {
+		bytes = c.head.cost()
+	}
+	c.held = c.sockets.memory.newReservation()
+	held := c.held
+	c.sockets.mu.Unlock()
+	if until.IsZero() {
+		until = time.Now().Add(readTimeout)
+	}
+	return c.awaitMemory(held, bytes, until)
+}
+
+// awaitMemory reserves memory for a part of the request that is arriving, and waits for it until the given time at most. While
+// others wait, the memory is taken back if the request stays incomplete.
+func (c *trackedConn) awaitMemory(held *reservation, bytes int64, until time.Time) error {
+	held.setEvictable(c.rejectIncomplete)
+	c.setAwaitsMemory(true)
+	defer c.setAwaitsMemory(false)
+	return held.grow(bytes, false, until, c.rejection)
+}
+
+func (c *trackedConn) setAwaitsMemory(awaits bool) {
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	c.awaitsMemory = awaits
+}
+
+// takeMemory returns the reservation of the request that has arrived, and leaves the connection without one. The caller must
+// release it. It is nil if the connection is nil or has none.
+func (c *trackedConn) takeMemory() *reservation {
+	if c == nil {
+		return nil
+	}
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	held := c.held
+	c.held = nil
+	return held
 }
 
 // SetReadDeadline allows less time for the head of the first request on a client connection than the server sets: the
@@ -231,6 +280,7 @@
 	if c.rejected {
 		t = expiredDeadline
 	}
+	c.readDeadline = t
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -246,6 +296,7 @@
 // Close closes the connection and returns its socket to the budget. Further calls do not change the budget.
 func (c *trackedConn) Close() error {
 	err := c.Conn.Close()
+	c.takeMemory().release()
 	s := c.sockets
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/httpwire/upstreamresponse.go
+++ b/internal/httpwire/upstreamresponse.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strings"
+	"time"
 )
 
 const (
@@ -138,18 +139,39 @@
 	case r.contentLength > maxBodyBytes:
 		return errResponseTooLong
 	}
+	if err := c.reserveBody(r.contentLength); err != nil {
+		return err
+	}
 	r.body = make([]byte, r.contentLength)
 	_, err := io.ReadFull(c.in, r.body)
 	return err
 }
 
+// reserveBody reserves memory for a large body of a response. While it waits, the body stays in the kernel, and the time for
+// reading the response does not run.
+func (c *conn) reserveBody(bytes int64) error {
+	if c.held == nil || bytes <= freeBodyBytes {
+		return nil
+	}
+	err := c.held.grow(bytes, true, time.Now().Add(writeTimeout), c.interrupted)
+	c.setReadTimeout(responseReadTimeout)
+	return err
+}
+
+// maxChunkedBytes is the memory for reading a chunked body, whose length is not known: its buffer grows by copying.
+const maxChunkedBytes = 2*maxBodyBytes + freeBodyBytes
+
 // readChunks reads a chunked body and the empty line after it.
 func (c *conn) readChunks(r *upstreamResponse) error {
-	var err error
+	err := c.reserveBody(maxChunkedBytes)
+	if err != nil {
+		return err
+	}
 	r.body, err = io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.in), maxBodyBytes+1))
 	if err != nil {
 		return err
 	}
+	c.held.shrinkBy(int64(maxChunkedBytes - cap(r.body)))
 	if len(r.body) > maxBodyBytes {
 		return errResponseTooLong
 	}
--- a/internal/httpwire/upstreamresponse_test.go
+++ b/internal/httpwire/upstreamresponse_test.go
@@ -18,7 +18,8 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		c := &conn{in: bufio.NewReader(bytes.NewReader(text))}
+		c := newConn(nil)
+		c.in = bufio.NewReader(bytes.NewReader(text))
 		r, err := c.readResponse()
 		if err == nil && (r.status < 100 || r.status > 599 || len(r.body) > maxBodyBytes || !bytes.HasPrefix(text, []byte(httpVersion))) {
 			t.Errorf("readResponse accepted %q as %+v, want status 100 to 599, at most %d body bytes and prefix %q", text, r, maxBodyBytes, httpVersion)
