Pause before requests of clients that do not wait for their answers

Cause: the goroutine of a connection on which the next request is always there already never waits for the network, and with one processor the scheduler polls the network only every 10 ms meanwhile (net/http's conn.serve over trackedConn.Read). Ruled out: the processor (60% of a core), the lock of the core, the socket budget (116 of 1,008 in use).

--- a/internal/httpwire/front.go
+++ b/internal/httpwire/front.go
@@ -43,6 +43,7 @@
 	openRequests    atomic.Int64  // requests between the end of their head and the end of their response
 	invalidRequests atomic.Int64
 	clientsLeft     atomic.Int64 // requests whose client had left before they were handled
+	paused          atomic.Int64 // requests that had to pause because their client did not wait for answers
 	startedAt       time.Time
 	lastActivity    atomic.Int64  // when a request last began or ended (ns since startedAt: the wall clock may be stepped)
 	killDelay       time.Duration // minimum time from the shutdown signal until the process may be killed
@@ -106,6 +107,10 @@
 // ClientsLeft returns the number of requests that were not handled because their client had already closed its connection.
 func (f *Front) ClientsLeft() int64 { return f.clientsLeft.Load() }
 
+// PausedRequests returns the number of requests before which the front paused, because their client did not wait for the
+// answer to the one before.
+func (f *Front) PausedRequests() int64 { return f.paused.Load() }
+
 // beginRequest counts a request as open until the returned function is called.
 func (f *Front) beginRequest() (end func()) {
 	f.openRequests.Add(1)
--- a/internal/httpwire/incomplete.go
+++ b/internal/httpwire/incomplete.go
@@ -100,17 +100,19 @@
 	return c.rejected
 }
 
-// HeadRead records that the head of a request has been read completely. The connection may be nil.
-func (s *Sockets) HeadRead(c *trackedConn) {
+// HeadRead records that the head of a request has been read completely. It returns the number of requests in a row, with
+// this one, that came without waiting for the answer to the one before. The connection may be nil.
+func (s *Sockets) HeadRead(c *trackedConn) (backToBack int) {
 	if c == nil {
-		return
+		return 0
 	}
 	c.firstHeadRead = true
 	s.mu.Lock()
 	c.headIncomplete = false
-	held, cost := c.held, c.head.cost()
+	held, cost, backToBack := c.held, c.head.cost(), c.backToBack
 	s.mu.Unlock()
 	held.shrinkTo(cost)
+	return backToBack
 }
 
 // ExpectBody records that the body of a request follows, whose length is given in bytes. The connection may be nil.
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -69,18 +69,20 @@
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	conn := connOf(r)
-	f.sockets.HeadRead(conn)
+	backToBack := f.sockets.HeadRead(conn)
 	// The client's timeout runs from the arrival of the request's first byte, and a head may arrive in pieces.
 	age := f.sockets.RequestAge(conn)
 	if r.ContentLength == 0 {
 		f.sockets.RequestRead(conn)
 	}
+	arrivedAt := f.core.Now() - toMilliseconds(age)
+	f.pace(r.Context(), backToBack)
 	if path == healthPath && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		defer conn.takeMemory().release()
 		f.writeHealth(w)
 		return
 	}
-	f.serveRequest(w, r, path, f.core.Now()-toMilliseconds(age))
+	f.serveRequest(w, r, path, arrivedAt)
 }
 
 // writeHealth responds with 200 if the front accepts new requests, and with 503 otherwise.
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -186,7 +186,7 @@
 
 // track counts a connection against the budget until it is closed.
 func (s *Sockets) track(conn net.Conn, isClient bool) *trackedConn {
-	c := &trackedConn{Conn: conn, sockets: s, isClient: isClient, betweenRequests: true, acceptedAt: time.Now()}
+	c := &trackedConn{Conn: conn, sockets: s, isClient: isClient, betweenRequests: true, foundNothing: true, acceptedAt: time.Now()}
 	if socket, ok := conn.(syscall.Conn); ok && isClient {
 		// Without a raw connection, Read falls back to the Read method of conn.
 		c.rawConn, _ = socket.SyscallConn()
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -44,6 +44,8 @@
 	awaitsMemory    bool          // bytes at the socket are not read before memory is reserved for them
 	held            *reservation  // memory of the request that is arriving; nil: none
 	readDeadline    time.Time     // zero: none
+	foundNothing    bool          // after the previous request, the client had not yet sent anything more
+	backToBack      int           // number of requests up to the current one that followed the one before without a pause
 	requestStart    time.Time     // when the first byte of the request arrived; zero: not observed
 	maxBacklogWait  time.Duration // upper limit of the time that bytes of the first request have spent in the backlog
 	inList          *list.List    // the list of Sockets that holds the connection; nil: none
@@ -71,6 +73,11 @@
 	c.betweenRequests, c.headIncomplete, c.requestStart = false, true, time.Now().Add(-waited)
 	c.maxBacklogWait = 0
 	c.head = headScanner{}
+	c.backToBack++
+	if c.foundNothing {
+		c.backToBack = 0
+	}
+	c.foundNothing = false
 	if c.element != nil && c.inList != c.sockets.receivingConns {
 		c.removeFromList()
 		c.addTo(c.sockets.receivingConns)
@@ -167,11 +174,13 @@
 	read := c.takeEarly(b)
 	c.sockets.mu.Unlock()
 	var err error
-	if read == 0 {
+	wasEarly := read > 0
+	if !wasEarly {
 		read, err = c.Conn.Read(b)
 	}
 	c.sockets.mu.Lock()
 	defer c.sockets.mu.Unlock()
+	c.foundNothing = c.foundNothing || !wasEarly
 	return c.onRead(b[:read], c.maxBacklogWait), err
 }
 
@@ -198,6 +207,7 @@
 	}
 	if errors.Is(err, syscall.EAGAIN) {
 		c.maxBacklogWait = 0 // what arrives from now on has not been in the backlog
+		c.foundNothing = c.bodyLeft == 0
 	}
 	if err != nil || read <= 0 {
 		return read, 0, err
