Take memory back from a slow reader only while its response is being written

The budget chooses a reservation, and then interrupts the write by a deadline in the past; if the response was written in between, and net/http had already reset the deadline for the next request, the next response on the connection would be cut off and its request lost.

Change: the connection knows whether a long response is being written, and abortWrite looks at that under the lock under which it ends.

Measured: TestAbortAfterResponse fails with the unconditional deadline of before.

--- a/internal/httpwire/memory_test.go
+++ b/internal/httpwire/memory_test.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"errors"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"testing"
@@ -297,6 +298,29 @@
 	})
 }
 
+// Taking memory back from a response that has just been written does not cut off the next response on its connection.
+func TestAbortAfterResponse(t *testing.T) {
+	client, accepted := connectedPair(t)
+	conn := NewSockets(0).track(accepted, true)
+	conn.setWriting(true)
+	send(conn, "long response")
+	conn.setWriting(false)
+	if !conn.abortWrite() {
+		t.Error("abortWrite = false, want true: the memory is released without it")
+	}
+	if _, err := io.WriteString(conn, "next response"); err != nil {
+		t.Errorf("writing the next response: %v", err)
+	}
+	conn.setWriting(true)
+	if released := conn.abortWrite(); !released {
+		t.Error("abortWrite = false during a write, want true")
+	}
+	if _, err := io.WriteString(conn, "interrupted"); err == nil {
+		t.Error("a write succeeded after it was interrupted")
+	}
+	client.Close()
+}
+
 // All memory is returned once requests have ended, whatever their end was.
 func TestMemoryIsReturned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -38,6 +38,7 @@
 	headIncomplete  bool          // the head of the current request has begun to arrive and is not complete
 	betweenRequests bool          // no byte of the next request has been read
 	head            headScanner   // of the current request
+	writing         bool          // a long response is being written
 	bodyLeft        int64         // bytes of the current request's body that have not been read
 	early           []byte        // bytes read from the socket together with the end of a head, and not yet returned by Read
 	earlySince      time.Time     // when they were read
@@ -294,6 +295,30 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// setWriting records whether a long response is being written. The connection may be nil.
+func (c *trackedConn) setWriting(writing bool) {
+	if c == nil {
+		return
+	}
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	c.writing = writing
+}
+
+// abortWrite interrupts the writing of a long response whose client does not read it. It reports whether the memory of the
+// response will be released soon. It does nothing once the response is written: it must not cut off the next one.
+func (c *trackedConn) abortWrite() (released bool) {
+	if c == nil {
+		return false
+	}
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	if c.writing {
+		_ = c.SetWriteDeadline(expiredDeadline) // fails only on a closed connection, and then the write fails too
+	}
+	return true
+}
+
 // firstRequestDeadline returns the time that is limit after the client connected, but leaves minReadTime in any case.
 func (c *trackedConn) firstRequestDeadline(limit time.Duration) time.Time {
 	latest, earliest := c.connectedAt.Add(limit), c.acceptedAt.Add(minReadTime)
--- a/internal/httpwire/writer.go
+++ b/internal/httpwire/writer.go
@@ -38,7 +38,9 @@
 	if len(response.body) > socketBufferBytes {
 		// An error means that the connection is closed, and then the write fails too.
 		_ = http.NewResponseController(r.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
-		r.held.setEvictable(r.abort)
+		r.conn.setWriting(true)
+		defer r.conn.setWriting(false)
+		r.held.setEvictable(r.conn.abortWrite)
 		defer r.held.setNeeded()
 	}
 	r.writer.Header().Set("Content-Type", response.contentType)
@@ -47,15 +49,6 @@
 	return err == nil && r.flush()
 }
 
-// abort interrupts the writing of a response whose client does not read it, and reports that its memory is released soon.
-func (r responseWriter) abort() (released bool) {
-	if r.conn == nil {
-		return false
-	}
-	_ = r.conn.SetWriteDeadline(expiredDeadline) // fails only on a closed connection, and then the write fails too
-	return true
-}
-
 // writeRejected reports to the client that the request was not executed. The client may retry after retryAfter ms, or at
 // any time if it is 0.
 func (r responseWriter) writeRejected(retryAfter float64) (written bool) {
