--- a/cmd/onyxgate/version.go
+++ b/cmd/onyxgate/version.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-const version = "0.15"
+const version = "0.16"
 
 // versionCommand prints the version.
 type versionCommand struct{}
