Reject requests that did not wait for an answer while many others are open

Cause: each such connection always has a request open. Together they pass the number from which on policy/routing.go rejects a request that finds no place, and the decisions can't tell clients apart. Ruled out: memory (no reservation refused) and sockets (none missing).

Reason "crowded" is new in the record.

--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -14,11 +14,22 @@
 // Reasons for rejecting a request that the decisions do not see.
 const (
 	rejectNoRoom   = "room"     // the limit on open requests or on their bodies is exceeded
+	rejectCrowded  = "crowded"  // many requests are open, and the client has not waited for the answer to the one before
 	rejectStarting = "starting" // the instance was not ready before the request had waited for too long
 )
 
-// serveRequest handles one request, whose first byte arrived at arrivedAt (ms of the core's clock), up to its response.
-func (f *Front) serveRequest(w http.ResponseWriter, r *http.Request, path string, arrivedAt float64) {
+// crowdedShare is the share of the client connections with an open request from which on requests that have not waited for
+// the answer to the one before are rejected. Clients that wait need about a third of the connections.
+const crowdedShare = 0.3
+
+// arrival describes how a request arrived.
+type arrival struct {
+	at         float64 // ms of the core's clock, when its first byte arrived
+	backToBack int     // number of requests in a row, with this one, that came without waiting for an answer
+}
+
+// serveRequest handles one request up to its response.
+func (f *Front) serveRequest(w http.ResponseWriter, r *http.Request, path string, arrived arrival) {
 	defer f.beginRequest()()
 	held := f.requestMemory(connOf(r))
 	defer held.release()
@@ -27,8 +38,8 @@
 		f.writeInvalidRequest(w, err)
 		return
 	}
-	deadline := arrivedAt + parsed.timeLeft
-	queueEnd := policy.QueueDeadline(arrivedAt, deadline)
+	deadline := arrived.at + parsed.timeLeft
+	queueEnd := policy.QueueDeadline(arrived.at, deadline)
 	body, err := f.readBody(w, r, bodyLimits{parsed.bodyBytes, deadline, queueEnd, held})
 	if errors.Is(err, errNoRoom) {
 		writeUnread(w, err)
@@ -39,7 +50,7 @@
 		return
 	}
 	held.setNeeded()
-	rejectReason := f.rejectReason(parsed.id)
+	rejectReason := f.rejectReason(parsed.id, arrived.backToBack)
 	if rejectReason == "" && !f.awaitStart(r.Context(), queueEnd) {
 		rejectReason = rejectStarting
 	}
@@ -54,7 +65,7 @@
 	send := func(attempt *core.Attempt) { f.upstream.SendAttempt(attempt, outgoing) }
 	request := f.core.Accept(core.IncomingRequest{
 		ID: parsed.id, Key: parsed.key, IdempotencyKey: parsed.idempotencyKey, Class: parsed.class.index, Retry: parsed.retry,
-		ArrivedAt: arrivedAt, TimeLeft: parsed.timeLeft, RejectReason: rejectReason, StartAttempt: send,
+		ArrivedAt: arrived.at, TimeLeft: parsed.timeLeft, RejectReason: rejectReason, StartAttempt: send,
 		ClientLeft: conn.clientLeft,
 	})
 	if request == nil {
@@ -76,10 +87,15 @@
 	return f.sockets.memory.newReservation()
 }
 
-// rejectReason returns the reason to reject a request that exceeds the front's limit on open requests, or "".
-func (f *Front) rejectReason(id string) string {
+// rejectReason returns the reason to reject a request that exceeds the front's limit on open requests, or that has not
+// waited for an answer while many others are open, or "".
+func (f *Front) rejectReason(id string, backToBack int) string {
 	openRequests := f.openRequests.Load()
 	if f.maxOpenRequests == 0 || openRequests <= int64(f.maxOpenRequests) {
+		isCrowded := float64(openRequests) > crowdedShare*float64(f.sockets.ClientLimit())
+		if isCrowded && backToBack > 0 {
+			return rejectCrowded
+		}
 		return ""
 	}
 	logrus.WithFields(logrus.Fields{"request": id, "open_requests": openRequests}).Warn("no room for a request")
--- a/internal/httpwire/pacing_test.go
+++ b/internal/httpwire/pacing_test.go
@@ -1,6 +1,10 @@
 package httpwire
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -76,3 +80,53 @@
 		}
 	}
 }
+
+// holdOpenRequests serves one connection: it answers its request unless the id begins with "open".
+func holdOpenRequests(conn net.Conn) {
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil || strings.HasPrefix(request.Header.Get("Req-Id"), "open") {
+		drain(conn) // until the attempt is given up
+		return
+	}
+	send(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+// While many requests are open, those of clients that do not wait for their answers are rejected, and clients that wait are
+// served.
+func TestCrowdedRejectsThoseThatDoNotWait(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		open       int
+		wantSecond int // status of a request that has not waited
+	}{
+		{"few open", 1, 200},
+		{"many open", 3, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				instance := newTestInstance(network{"app:1": holdOpenRequests}, NewSockets(reservedSockets+10)) // 8 client connections
+				server := instance.serve()
+				for i := range c.open {
+					client := server.dial()
+					defer client.Close()
+					send(client, requestWithID(fmt.Sprint("open", i)))
+				}
+				synctest.Wait()
+				client := server.dial()
+				defer client.Close()
+				go send(client, requestWithID("first")+requestWithID("second")) // ends when it is read
+				for _, want := range []int{200, c.wantSecond} {
+					if status, _ := client.readResponse(t); status != want {
+						t.Errorf("status = %d, want %d", status, want)
+					}
+				}
+				send(client, requestWithID("third"))
+				if status, _ := client.readResponse(t); status != 200 {
+					t.Errorf("status of a request that has waited = %d, want 200", status)
+				}
+				server.close()
+				instance.close()
+			})
+		})
+	}
+}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -75,14 +75,14 @@
 	if r.ContentLength == 0 {
 		f.sockets.RequestRead(conn)
 	}
-	arrivedAt := f.core.Now() - toMilliseconds(age)
+	arrived := arrival{at: f.core.Now() - toMilliseconds(age), backToBack: backToBack}
 	f.pace(r.Context(), backToBack)
 	if path == healthPath && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		defer conn.takeMemory().release()
 		f.writeHealth(w)
 		return
 	}
-	f.serveRequest(w, r, path, arrivedAt)
+	f.serveRequest(w, r, path, arrived)
 }
 
 // writeHealth responds with 200 if the front accepts new requests, and with 503 otherwise.
