Do not take a client that waits for its answers for one that does not

Seen: a client that sends /up, reads the answer and sends the next, 3,000 times: 141 to 166 of its requests were paused; under load they might have been rejected as crowded.

Cause: trackedConn.Read took a request for one that had not waited if no read had found the connection empty since the one before. net/http reads in the background while a handler runs, but aborts that read, before it has looked, if the handler ends at once; the next read then finds the next request of a fast client.

Change: before an answer is written, when the client can't have read it yet, the socket is looked at (beforeAnswer), unless a read has found it empty already: one system call more for answers that take no time, none for others.

--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -129,6 +129,7 @@
 		return true
 	}
 	traceAnswer(h.request, action)
+	h.response.conn.beforeAnswer()
 	switch action.Kind {
 	case core.ActionServe:
 		h.responseStarted = true
--- a/internal/httpwire/pacing.go
+++ b/internal/httpwire/pacing.go
@@ -19,6 +19,19 @@
 	pauseDoubling = 256
 )
 
+// beforeAnswer notes whether the client has sent anything behind the current request before it can have read the answer, which
+// is about to be written. The connection may be nil. If the request took any time, the server's reader has found out already.
+func (c *trackedConn) beforeAnswer() {
+	if c == nil {
+		return
+	}
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	if c.betweenRequests && !c.foundNothing && len(c.early) == 0 {
+		c.foundNothing = peek(c) == unreadNone
+	}
+}
+
 // pauseBefore returns the pause before a request that is the given number in a row to come without waiting for the answer to
 // the one before; 0 means that its client has waited.
 func pauseBefore(backToBack int) time.Duration {
--- a/internal/httpwire/pacing_test.go
+++ b/internal/httpwire/pacing_test.go
@@ -130,3 +130,21 @@
 		})
 	}
 }
+
+// A client that waits for its answers is not taken for one that does not, however soon it sends the next request: answers that
+// take no time leave the server no moment in which it finds nothing to read.
+func TestWaitingIsNotMistaken(t *testing.T) {
+	const requests = 3000
+	l := newLoopback(t, "unused:1", dialTCP, true)
+	l.front.SetReady()
+	client := l.dialFront()
+	for i := range requests {
+		send(client, healthRequest)
+		if status, _ := client.readResponse(t); status != 200 {
+			t.Fatalf("request %d: status = %d, want 200", i, status)
+		}
+	}
+	if paused := l.front.PausedRequests(); paused != 0 {
+		t.Errorf("%d of %d requests were paused, want none", paused, requests)
+	}
+}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -79,6 +79,7 @@
 	f.pace(r.Context(), backToBack)
 	if path == healthPath && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		defer conn.takeMemory().release()
+		conn.beforeAnswer()
 		f.writeHealth(w)
 		return
 	}
