--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -91,15 +91,15 @@
 // waited for an answer while many others are open, or "".
 func (f *Front) rejectReason(id string, backToBack int) string {
 	openRequests := f.openRequests.Load()
-	if f.maxOpenRequests == 0 || openRequests <= int64(f.maxOpenRequests) {
-		isCrowded := float64(openRequests) > crowdedShare*float64(f.sockets.ClientLimit())
-		if isCrowded && backToBack > 0 {
-			return rejectCrowded
-		}
-		return ""
+	if f.maxOpenRequests != 0 && openRequests > int64(f.maxOpenRequests) {
+		logrus.WithFields(logrus.Fields{"request": id, "open_requests": openRequests}).Warn("no room for a request")
+		return rejectNoRoom
+	}
+	isCrowded := float64(openRequests) > crowdedShare*float64(f.sockets.ClientLimit())
+	if isCrowded && backToBack > 0 {
+		return rejectCrowded
 	}
-	logrus.WithFields(logrus.Fields{"request": id, "open_requests": openRequests}).Warn("no room for a request")
-	return rejectNoRoom
+	return ""
 }
 
 // requestHandler carries out the core's actions for one accepted request. It runs in the goroutine of the client's
