Spare small requests the budget's lock and the second look at the client

Change: a reservation that never had an effect on the budget, as that of every small request, takes no lock. An attempt that is sent within 20 ms of the look at its client does not look again; the protocol allows attempts up to 0.1 s after a close. Before a request is accepted the socket is always looked at.

--- a/internal/httpwire/clientleft.go
+++ b/internal/httpwire/clientleft.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"onyxgate/internal/failpoint"
 )
@@ -17,6 +18,10 @@
 // kernel does not learn of a close. Windows are 64 KiB or more.
 const maxUnreadBehind = 16 << 10
 
+// presenceInterval is how long a client that was there when its request was read counts as still there. The protocol allows attempts to begin up to 0.1 s
+// after a close; most requests have only one attempt, right after they were read.
+const presenceInterval = 20 * time.Millisecond
+
 // peekBuffers holds buffers for counting unread bytes.
 var peekBuffers = sync.Pool{New: func() any { return new([maxUnreadBehind]byte) }}
 
@@ -27,15 +32,23 @@
 	if c == nil {
 		return false
 	}
-	switch peek(c) {
-	case unreadEnd:
+	found := peek(c)
+	if found == unreadEnd || found == unreadData && c.closedBehindData() {
 		return true
-	case unreadData:
-		return c.closedBehindData()
 	}
+	c.presentUntil.Store(int64(time.Since(c.acceptedAt) + presenceInterval))
 	return false
 }
 
+// leftBeforeAttempt is like clientLeft, for an attempt that is about to be sent. It does not look again if clientLeft has just
+// found the client.
+func (c *trackedConn) leftBeforeAttempt() bool {
+	if c == nil || int64(time.Since(c.acceptedAt)) < c.presentUntil.Load() {
+		return false
+	}
+	return c.clientLeft()
+}
+
 // closedBehindData reports whether the client has closed its connection although bytes wait to be read, or may have done so.
 func (c *trackedConn) closedBehindData() (closed bool) {
 	if c.rawConn == nil || failpoint.Defect("hidden-close") {
--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -66,7 +66,7 @@
 	request := f.core.Accept(core.IncomingRequest{
 		ID: parsed.id, Key: parsed.key, IdempotencyKey: parsed.idempotencyKey, Class: parsed.class.index, Retry: parsed.retry,
 		ArrivedAt: arrived.at, TimeLeft: parsed.timeLeft, RejectReason: rejectReason, StartAttempt: send,
-		ClientLeft: conn.clientLeft,
+		ClientLeft: conn.leftBeforeAttempt,
 	})
 	if request == nil {
 		f.writeInvalidRequest(w, errDuplicateID)
--- a/internal/httpwire/memory.go
+++ b/internal/httpwire/memory.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"onyxgate/internal/failpoint"
@@ -82,12 +83,13 @@
 
 // reservation is the memory reserved for one request. The nil reservation reserves nothing and grants everything.
 type reservation struct {
-	memory *Memory
+	memory   *Memory
+	users    atomic.Int32
+	involved atomic.Bool // it has had an effect on the budget; most requests are small and never do
 
 	// The fields below are guarded by memory.mu.
 
 	bytes     int64
-	users     int
 	evict     func() bool   // takes the memory back, or reports that it is still needed; nil: it can't be taken back
 	evicting  int64         // bytes that count in memory.evicting; 0: it is not being evicted
 	element   *list.Element // its entry in memory.evictable; nil: not listed
@@ -95,7 +97,11 @@
 }
 
 // newReservation returns an empty reservation with one user.
-func (m *Memory) newReservation() *reservation { return &reservation{memory: m, users: 1} }
+func (m *Memory) newReservation() *reservation {
+	r := &reservation{memory: m}
+	r.users.Store(1)
+	return r
+}
 
 // grow reserves more bytes. If there are not enough, it waits for them until the given time, or until canceled is closed;
 // an urgent reservation comes before others. The error is errNoRoom if they were not reserved.
@@ -103,6 +109,7 @@
 	if r == nil || bytes <= 0 {
 		return nil
 	}
+	r.involved.Store(true)
 	waiter, element := r.memory.reserve(r, bytes, urgent)
 	if waiter == nil {
 		return nil
@@ -209,6 +216,7 @@
 	if r == nil {
 		return
 	}
+	r.involved.Store(true)
 	m := r.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -221,7 +229,7 @@
 
 // setNeeded ends setEvictable.
 func (r *reservation) setNeeded() {
-	if r == nil {
+	if r == nil || !r.involved.Load() {
 		return
 	}
 	m := r.memory
@@ -234,7 +242,7 @@
 
 // shrinkTo returns what exceeds the given size to the budget.
 func (r *reservation) shrinkTo(bytes int64) {
-	if r == nil {
+	if r == nil || !r.involved.Load() {
 		return
 	}
 	m := r.memory
@@ -274,26 +282,19 @@
 
 // retain adds a user. Each user must call release once.
 func (r *reservation) retain() {
-	if r == nil {
-		return
+	if r != nil {
+		r.users.Add(1)
 	}
-	r.memory.mu.Lock()
-	defer r.memory.mu.Unlock()
-	r.users++
 }
 
 // release ends the use by one user. The last one returns the memory to the budget.
 func (r *reservation) release() {
-	if r == nil {
+	if r == nil || r.users.Add(-1) > 0 || !r.involved.Load() {
 		return
 	}
 	m := r.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r.users--
-	if r.users > 0 {
-		return
-	}
 	m.giveBack(r, r.bytes)
 	r.evict = nil
 	m.grantWaiting()
--- a/internal/httpwire/memory_test.go
+++ b/internal/httpwire/memory_test.go
@@ -136,6 +136,7 @@
 func (m *memoryModel) reserve(t *rapid.T) {
 	_, r := m.pick(t)
 	bytes := int64(rapid.IntRange(1, 600).Draw(t, "bytes"))
+	r.involved.Store(true)
 	if waiter, element := m.memory.reserve(r, bytes, rapid.Bool().Draw(t, "urgent")); waiter != nil {
 		m.waiting = append(m.waiting, waitingReservation{waiter, element})
 	}
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,8 @@
 	acceptedAt  time.Time
 	connectedAt time.Time // of a client connection: earlier than acceptedAt if it waited in the backlog
 
+	presentUntil atomic.Int64 // ns since acceptedAt until which the client counts as there
+
 	rejection chan struct{} // of a client connection: closed when its incomplete request is rejected
 
 	// servedBefore is set once a request has been answered on the connection, firstHeadRead once the head of the first
