Never reject a complete request to make room, and reject a connection only once

A connection that was rejected so, and got further bytes, could be rejected again by the socket budget; since the rejection closes a channel that would have ended the process.

Change: isArriving knows from the bytes still missing of the body whether the request is complete, and reject does nothing on a connection that was rejected.

Measured: TestCompleteRequestIsNotRejected fails without either ("rejected before the server knew that the request was complete"; "close of closed channel").

--- a/internal/httpwire/clientleft.go
+++ b/internal/httpwire/clientleft.go
@@ -18,8 +18,8 @@
 // kernel does not learn of a close. Windows are 64 KiB or more.
 const maxUnreadBehind = 16 << 10
 
-// presenceInterval is how long a client that was there when its request was read counts as still there. The protocol allows attempts to begin up to 0.1 s
-// after a close; most requests have only one attempt, right after they were read.
+// presenceInterval is how long a client that was there when its request was read counts as still there. The protocol allows
+// attempts to begin up to 0.1 s after a close; most requests have only one attempt, right after they were read.
 const presenceInterval = 20 * time.Millisecond
 
 // peekBuffers holds buffers for counting unread bytes.
--- a/internal/httpwire/handler.go
+++ b/internal/httpwire/handler.go
@@ -13,7 +13,7 @@
 
 // Reasons for rejecting a request that the decisions do not see.
 const (
-	rejectNoRoom   = "room"     // the limit on open requests or on their bodies is exceeded
+	rejectNoRoom   = "room"     // the limit on open requests is exceeded
 	rejectCrowded  = "crowded"  // many requests are open, and the client has not waited for the answer to the one before
 	rejectStarting = "starting" // the instance was not ready before the request had waited for too long
 )
--- a/internal/httpwire/incomplete.go
+++ b/internal/httpwire/incomplete.go
@@ -60,7 +60,7 @@
 	if c.closed || c.rejected {
 		return true
 	}
-	if c.betweenRequests || c.isArriving() {
+	if c.isArriving() {
 		return false
 	}
 	c.removeFromList()
@@ -68,9 +68,15 @@
 	return true
 }
 
-// isArriving reports whether more of the request has arrived, perhaps all of it, and is about to be read. sockets.mu must
-// be held.
-func (c *trackedConn) isArriving() bool { return c.hasUnread() && !c.awaitsMemory }
+// isArriving reports whether all of the request has been read, or more of it has arrived and is about to be read, perhaps all
+// of it. sockets.mu must be held.
+func (c *trackedConn) isArriving() bool {
+	if c.awaitsMemory { // what has arrived is not read before there is memory for it
+		return false
+	}
+	isComplete := c.betweenRequests || !c.headIncomplete && c.bodyLeft == 0
+	return isComplete || c.hasUnread()
+}
 
 // hasUnread reports whether bytes of the client, or its close, have not been passed on by Read. sockets.mu must be held.
 func (c *trackedConn) hasUnread() bool { return len(c.early) > 0 || !hasNoUnreadData(c.Conn) }
@@ -83,6 +89,9 @@
 
 // reject makes all reads fail from now on, including one in progress. sockets.mu must be held.
 func (c *trackedConn) reject() {
+	if c.rejected {
+		return
+	}
 	c.rejected = true
 	c.sockets.incompleteRejected++
 	close(c.rejection)
@@ -126,9 +135,9 @@
 }
 
 // answerIncompleteHead answers a request whose head can't be read any further because of err, and closes the connection:
-// with 503 if it was rejected, with 431 if it has too many fields, and with 408 if it took too long. After any other error there is nobody to answer. It must
-// be called by the goroutine that reads the head: at that time nothing else is written to the connection. The close also
-// keeps net/http from answering a second time, as it does if the head breaks off within a line.
+// with 503 if it was rejected, with 431 if it has too many fields, and with 408 if it took too long. After any other error
+// there is nobody to answer. It must be called by the goroutine that reads the head: at that time nothing else is written to
+// the connection. The close also keeps net/http from answering a second time, as it does if the head breaks off within a line.
 func (c *trackedConn) answerIncompleteHead(err error) {
 	c.sockets.mu.Lock()
 	wasIncomplete, rejected := c.headIncomplete, c.rejected
--- a/internal/httpwire/incomplete_test.go
+++ b/internal/httpwire/incomplete_test.go
@@ -129,6 +129,48 @@
 	})
 }
 
+// A request that has been read completely is not rejected to make room, whoever asks, and rejecting a connection twice has no
+// further effect.
+func TestCompleteRequestIsNotRejected(t *testing.T) {
+	client, socket := connectedPair(t)
+	s := NewSockets(0)
+	conn := s.track(socket, true)
+	s.ConnIdle(conn, true)
+	head, body := requestText("POST /pay/x", "Req-Id: r", "Content-Length: 4"), "body"
+	read := func(n int) {
+		t.Helper()
+		if _, err := io.ReadFull(conn, make([]byte, n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rejected := func() bool { return s.rejectIncomplete(0) || conn.rejectIncomplete() }
+	send(client, head+body)
+	read(len(head))
+	s.HeadRead(conn)
+	s.ExpectBody(conn, int64(len(body)))
+	read(len(body))
+	if rejected() {
+		t.Error("rejected before the server knew that the request was complete")
+	}
+	s.RequestRead(conn)
+	if rejected() || s.Rejected(conn) {
+		t.Error("a complete request was rejected")
+	}
+	send(client, head[:9])
+	read(9)
+	for range 2 {
+		if !conn.rejectIncomplete() || !s.Rejected(conn) {
+			t.Error("an incomplete request was not rejected")
+		}
+		s.mu.Lock()
+		conn.reject()
+		s.mu.Unlock()
+	}
+	if n := s.Usage().IncompleteRejected; n != 1 {
+		t.Errorf("requests rejected = %d, want 1", n)
+	}
+}
+
 // A connection on which half of its first head has arrived is not closed as idle, neither to make room nor at shutdown: the
 // close could cross the rest of the request, which would be lost.
 func TestHalfHeadOnNewConnection(t *testing.T) {
