Leave a part of the memory budget to responses, so that requests don't wait for them

Found by reading the budget: a request keeps the memory of its body until it has its response, and the response needs memory too. With bodies in all of the budget both wait until the requests' time is over.

Change: heads and bodies of requests are granted up to 0.6 of the budget only. The budget is 0.15 of the memory limit (was 0.125), of which requests get 0.09. In tests, newTestMemory has its size for requests and as much again for responses.

--- a/internal/httpwire/memory.go
+++ b/internal/httpwire/memory.go
@@ -21,7 +21,10 @@
 	// clientMemoryShare is the part of the process's memory limit that client connections may use.
 	clientMemoryShare = 0.4
 	// requestMemoryShare is the part of the process's memory limit for large heads, bodies and responses.
-	requestMemoryShare = 0.125
+	requestMemoryShare = 0.15
+	// incomingShare is the part of that for heads and bodies of requests. The rest is left to responses: a request keeps its
+	// memory until it has its response, so without it requests and the responses to them would wait for each other.
+	incomingShare = 0.6
 
 	// freeBodyBytes is the size up to which the body of a request, or of a response, needs no reservation.
 	freeBodyBytes = 4 << 10
@@ -34,6 +37,7 @@
 // Memory is the budget of memory held for peers. Its methods, and those of its reservations, are safe for concurrent use.
 type Memory struct {
 	limit      int64 // bytes
+	incoming   int64 // part of limit up to which heads and bodies of requests are granted
 	maxClients int   // client connections
 
 	mu        sync.Mutex // guards the fields below and the fields of reservation that are marked so
@@ -58,20 +62,25 @@
 type memoryWaiter struct {
 	bytes   int64
 	holder  *reservation
-	queue   *list.List
+	urgent  bool
 	granted chan struct{} // closed once the bytes are reserved
 }
 
 // NewMemory returns the budget of a process that may use processBytes of resident memory; 0 means no limit.
 func NewMemory(processBytes int64) *Memory {
-	m := &Memory{limit: math.MaxInt64, maxClients: math.MaxInt, urgent: list.New(), waiting: list.New(), evictable: list.New()}
+	m := &Memory{maxClients: math.MaxInt, urgent: list.New(), waiting: list.New(), evictable: list.New()}
+	m.setLimit(math.MaxInt64)
 	if processBytes > 0 {
-		m.limit = int64(requestMemoryShare * float64(processBytes))
+		m.setLimit(int64(requestMemoryShare * float64(processBytes)))
 		m.maxClients = int(clientMemoryShare * float64(processBytes) / connectionBytes)
 	}
 	return m
 }
 
+func (m *Memory) setLimit(bytes int64) {
+	m.limit, m.incoming = bytes, int64(incomingShare*float64(bytes))
+}
+
 // Usage returns the current use of the budget.
 func (m *Memory) Usage() MemoryUsage {
 	m.mu.Lock()
@@ -129,21 +138,26 @@
 func (m *Memory) reserve(r *reservation, bytes int64, urgent bool) (*memoryWaiter, *list.Element) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	queue, isFirst := m.waiting, m.next() == nil
-	if urgent {
-		queue, isFirst = m.urgent, m.urgent.Len() == 0
-	}
-	if isFirst && m.fits(bytes) {
+	isFirst := m.urgent.Len() == 0 && (urgent || m.waiting.Len() == 0)
+	if isFirst && m.lacks(bytes, urgent) <= 0 {
 		m.grant(r, bytes)
 		return nil, nil
 	}
 	m.counts.Waited++
-	waiter := &memoryWaiter{bytes, r, queue, make(chan struct{})}
-	element := queue.PushBack(waiter)
+	waiter := &memoryWaiter{bytes, r, urgent, make(chan struct{})}
+	element := m.queue(urgent).PushBack(waiter)
 	m.scheduleEviction()
 	return waiter, element
 }
 
+// queue returns the queue of urgent reservations or that of the others. m.mu must be held.
+func (m *Memory) queue(urgent bool) *list.List {
+	if urgent {
+		return m.urgent
+	}
+	return m.waiting
+}
+
 // next returns the entry in a queue that is granted next, or nil if none waits. m.mu must be held.
 func (m *Memory) next() *list.Element {
 	if first := m.urgent.Front(); first != nil {
@@ -161,15 +175,21 @@
 		return nil
 	default:
 	}
-	waiter.queue.Remove(element)
+	m.queue(waiter.urgent).Remove(element)
 	m.counts.Refused++
 	m.grantWaiting()
 	return errNoRoom
 }
 
-// fits reports whether more bytes can be reserved. m.mu must be held.
-func (m *Memory) fits(bytes int64) bool {
-	return bytes <= m.limit-m.used || failpoint.Defect("uncounted-memory")
+// lacks returns how many bytes are missing for a reservation; it fits if none are. m.mu must be held.
+func (m *Memory) lacks(bytes int64, urgent bool) int64 {
+	if failpoint.Defect("uncounted-memory") {
+		return 0
+	}
+	if urgent {
+		return bytes - (m.limit - m.used)
+	}
+	return bytes - (m.incoming - m.used)
 }
 
 // grant reserves bytes. m.mu must be held.
@@ -200,10 +220,10 @@
 func (m *Memory) grantWaiting() {
 	for first := m.next(); first != nil; first = m.next() {
 		waiter := first.Value.(*memoryWaiter)
-		if !m.fits(waiter.bytes) {
+		if m.lacks(waiter.bytes, waiter.urgent) > 0 {
 			break
 		}
-		waiter.queue.Remove(first)
+		m.queue(waiter.urgent).Remove(first)
 		m.grant(waiter.holder, waiter.bytes)
 		close(waiter.granted)
 	}
@@ -307,7 +327,8 @@
 	if next == nil {
 		return 0
 	}
-	return next.Value.(*memoryWaiter).bytes - (m.limit - m.used) - m.evicting
+	waiter := next.Value.(*memoryWaiter)
+	return m.lacks(waiter.bytes, waiter.urgent) - m.evicting
 }
 
 // scheduleEviction runs evict when the oldest reservation that can be evicted has been held for the grace period, if others
--- a/internal/httpwire/memory_test.go
+++ b/internal/httpwire/memory_test.go
@@ -14,10 +14,11 @@
 	"pgregory.net/rapid"
 )
 
-// newTestMemory returns a budget of the given size that does not limit connections.
+// newTestMemory returns a budget of the given size for requests, and as much again for responses, that does not limit
+// connections.
 func newTestMemory(limit int64) *Memory {
 	m := NewMemory(0)
-	m.limit = limit
+	m.limit, m.incoming = 2*limit, limit
 	return m
 }
 
@@ -185,7 +186,7 @@
 	if m.memory.used != sum || m.memory.evicting != evicting || sum > m.memory.limit {
 		t.Fatalf("used %d and evicting %d, want %d and %d; limit %d", m.memory.used, m.memory.evicting, sum, evicting, m.memory.limit)
 	}
-	if next := m.memory.next(); next != nil && m.memory.fits(next.Value.(*memoryWaiter).bytes) {
+	if next := m.memory.next(); next != nil && m.memory.lacks(next.Value.(*memoryWaiter).bytes, next.Value.(*memoryWaiter).urgent) <= 0 {
 		t.Fatal("a reservation waits although it fits")
 	}
 }
@@ -194,7 +195,7 @@
 // twice, and nothing waits that fits.
 func TestMemoryAccounting(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &memoryModel{memory: newTestMemory(1000)}
+		m := &memoryModel{memory: newTestMemory(700)}
 		t.Repeat(map[string]func(*rapid.T){
 			"add": m.add, "reserve": m.reserve, "stop waiting": m.stopWaiting, "release": m.release, "evict": m.evict, "": m.check,
 			"shrink": func(t *rapid.T) {
@@ -272,7 +273,7 @@
 		body := strings.Repeat("r", maxBodyBytes)
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", maxBodyBytes, body)
 		sockets := NewSockets(0)
-		sockets.LimitMemory(newTestMemory(2 * maxBodyBytes))
+		sockets.LimitMemory(newTestMemory(maxBodyBytes))
 		instance := newTestInstance(network{"app:1": answerOnce(answer)}, sockets)
 		server := instance.serve()
 		for i := range 2 {
@@ -322,6 +323,41 @@
 	client.Close()
 }
 
+// Requests whose bodies use up the memory for requests still get their responses: they keep that memory until they have them.
+func TestRequestsAndResponsesDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const clients = 12
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", maxBodyBytes, strings.Repeat("r", maxBodyBytes))
+		sockets := NewSockets(0)
+		memory := NewMemory(0)
+		memory.setLimit(4 * maxBodyBytes)
+		sockets.LimitMemory(memory)
+		instance := newTestInstance(network{"app:1": answerOnce(answer)}, sockets)
+		server := instance.serve()
+		statuses := make(chan int, clients)
+		for i := range clients {
+			head, body := largeRequest(fmt.Sprint("r", i))
+			go func() {
+				client := server.dial()
+				defer client.Close()
+				go send(client, head+body) // ends when it is read
+				status, _ := client.readResponse(t)
+				statuses <- status
+			}()
+		}
+		for range clients {
+			if status := <-statuses; status != 200 {
+				t.Errorf("status = %d, want 200", status)
+			}
+		}
+		if usage := memory.Usage(); usage.Peak > usage.Limit || usage.Waited == 0 || usage.Refused > 0 {
+			t.Errorf("memory = %+v, want a peak within the limit, reservations that waited and none refused", usage)
+		}
+		server.close()
+		instance.close()
+	})
+}
+
 // All memory is returned once requests have ended, whatever their end was.
 func TestMemoryIsReturned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
