Count a client as gone by what it has sent ahead, not by what is unread

Cause: clientleft.go took 16 KiB or more of unread bytes for a sign that the close may be hidden.

Change: the connection counts what its client has sent since it last waited for an answer. With 32 KiB or more of that, and some unread, the client counts as gone.

--- a/internal/httpwire/clientleft.go
+++ b/internal/httpwire/clientleft.go
@@ -13,17 +13,18 @@
 // Whether the client of a request has closed its connection. net/http detects a close only while nothing waits to be read in
 // front of it: a client that has sent more than its request, and then left, would seem to be there until everything is read.
 
-// maxUnreadBehind is the number of unread bytes behind a request from which on its client counts as gone. The protocol
-// allows none, because clients send one request at a time. With so many, the receive window may be exhausted, and then the
-// kernel does not learn of a close. Windows are 64 KiB or more.
-const maxUnreadBehind = 16 << 10
+// maxSentAhead is the number of bytes that a client may send without waiting for an answer before it counts as gone, if some of
+// them are still unread. The protocol allows no more than one request. With more, the receive window may have been exhausted,
+// and until the client's kernel has sent everything, which it does in steps, ours does not learn of a close. Windows are
+// 64 KiB or more.
+const maxSentAhead = 32 << 10
 
 // presenceInterval is how long a client that was there when its request was read counts as still there. The protocol allows
 // attempts to begin up to 0.1 s after a close; most requests have only one attempt, right after they were read.
 const presenceInterval = 20 * time.Millisecond
 
 // peekBuffers holds buffers for counting unread bytes.
-var peekBuffers = sync.Pool{New: func() any { return new([maxUnreadBehind]byte) }}
+var peekBuffers = sync.Pool{New: func() any { return new([maxSentAhead]byte) }}
 
 // clientLeft reports whether the client of a request that has been read completely has closed its connection, or can't be
 // known to be there. It does not block. For a nil connection it returns false. A client that has closed only its sending
@@ -54,15 +55,18 @@
 	if c.rawConn == nil || failpoint.Defect("hidden-close") {
 		return false
 	}
+	c.sockets.mu.Lock()
+	sentAhead := c.sentAhead
+	c.sockets.mu.Unlock()
 	err := c.rawConn.Control(func(fd uintptr) {
-		closed = closedByPeer(int(fd)) || unreadBytes(int(fd)) >= maxUnreadBehind
+		closed = closedByPeer(int(fd)) || sentAhead+unreadBytes(int(fd)) >= maxSentAhead
 	})
 	return closed || errors.Is(err, net.ErrClosed)
 }
 
-// unreadBytes returns the number of bytes that wait to be read on a socket, up to maxUnreadBehind.
+// unreadBytes returns the number of bytes that wait to be read on a socket, up to maxSentAhead.
 func unreadBytes(fd int) int {
-	buffer := peekBuffers.Get().(*[maxUnreadBehind]byte)
+	buffer := peekBuffers.Get().(*[maxSentAhead]byte)
 	defer peekBuffers.Put(buffer)
 	n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	if err != nil {
--- a/internal/httpwire/clientleft_test.go
+++ b/internal/httpwire/clientleft_test.go
@@ -115,8 +115,8 @@
 		{"closed", 0, true, true},
 		{"one byte unread", 1, false, false},
 		{"closed behind one byte", 1, true, true},
-		{"closed behind some requests", maxUnreadBehind / 2, true, true},
-		{"more unread than any request", maxUnreadBehind, false, true},
+		{"closed behind some requests", maxSentAhead / 2, true, true},
+		{"too much unread", maxSentAhead, false, true},
 		{"closed behind more than the receive window", 4 << 20, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -138,3 +138,27 @@
 		})
 	}
 }
+
+// A close behind more than the receive window holds stays known while the bytes in front of it are read: the client's kernel sends
+// the rest, and the close, in steps, and few bytes may be unread in between.
+func TestClientLeftKnownWhileReading(t *testing.T) {
+	client, accepted := connectedPair(t)
+	s := NewSockets(0)
+	conn := s.track(accepted, true)
+	s.ConnIdle(conn, true)
+	_ = client.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)) // not all of it fits
+	send(client, strings.Repeat("x", 4<<20))
+	client.Close()
+	b := make([]byte, 4<<10)
+	for total := 0; ; {
+		n, err := conn.Read(b)
+		if err != nil {
+			break // everything was read
+		}
+		total += n
+		unread := peek(conn) == unreadData
+		if unread && !conn.clientLeft() {
+			t.Fatalf("after %d bytes: clientLeft = false, want true: the client closed before the first was read", total)
+		}
+	}
+}
--- a/internal/httpwire/clientread.go
+++ b/internal/httpwire/clientread.go
@@ -20,7 +20,7 @@
 	c.head = headScanner{}
 	c.backToBack++
 	if c.foundNothing {
-		c.backToBack = 0
+		c.backToBack, c.sentAhead = 0, 0
 	}
 	c.foundNothing = false
 	if c.element != nil && c.inList != c.sockets.receivingConns {
@@ -161,7 +161,9 @@
 	if c.betweenRequests {
 		waited = c.unreadWait(fd)
 	}
-	return read, c.onRead(b[:read], waited), nil
+	n = c.onRead(b[:read], waited)
+	c.sentAhead += read
+	return read, n, nil
 }
 
 // errTooManyFields ends the reading of a head with more than maxHeadFields.
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -46,6 +46,7 @@
 	held            *reservation  // memory of the request that is arriving; nil: none
 	readDeadline    time.Time     // zero: none
 	foundNothing    bool          // after the previous request, the client had not yet sent anything more
+	sentAhead       int           // bytes that the client has sent since it last waited for an answer, as far as they were read
 	backToBack      int           // number of requests up to the current one that followed the one before without a pause
 	requestStart    time.Time     // when the first byte of the request arrived; zero: not observed
 	maxBacklogWait  time.Duration // upper limit of the time that bytes of the first request have spent in the backlog
