Judge at the answer whether a client has waited for it

A client that sends much does so in steps, and one that sends its next request a little later has not waited either; both were neither paused nor counted as sending ahead.

Change: beforeAnswer alone decides, from what has arrived when the answer is about to be written. One look at the socket for each answer. e2e clients prints how late the latest attempt for a client that has left was.

--- a/cmd/e2e/clients.go
+++ b/cmd/e2e/clients.go
@@ -86,6 +86,7 @@
 	Late       int              `json:"usual_late"`
 	Served     float64          `json:"usual_served_share"`
 	AfterLeave int              `json:"attempts_after_client_left"`
+	LatestMs   float64          `json:"latest_attempt_after_client_left_ms"`
 	Unanswered int              `json:"misbehaving_unanswered"` // for longer than they are owed an answer or a close
 	Left       int              `json:"requests_left_unread"`   // requests whose clients left before they had an answer
 	Violations fleet.Violations `json:"rules_broken"`
@@ -217,7 +218,9 @@
 	if c.Short {
 		slack = shortAttemptsAfterLeave
 	}
-	f.Left, f.AfterLeave = c.departures.counts(cmp.Or(c.Slack, slack))
+	var latest time.Duration
+	f.Left, f.AfterLeave, latest = c.departures.counts(cmp.Or(c.Slack, slack))
+	f.LatestMs = float64(latest.Microseconds()) / 1000
 	f.Violations = bed.fleet.Audit()
 }
 
--- a/cmd/e2e/clients_watch.go
+++ b/cmd/e2e/clients_watch.go
@@ -83,15 +83,16 @@
 	}
 }
 
-// counts returns the number of requests that clients left, and of those for which an attempt arrived later than slack
-// after that.
-func (d *departures) counts(slack time.Duration) (left, late int) {
+// counts returns the number of requests that clients left, of those for which an attempt arrived later than slack after that,
+// and how long after that the latest attempt arrived.
+func (d *departures) counts(slack time.Duration) (left, late int, latest time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, after := range d.late {
+		latest = max(latest, after)
 		if after > slack {
 			late++
 		}
 	}
-	return d.count, late
+	return d.count, late, latest
 }
--- a/internal/httpwire/clientread.go
+++ b/internal/httpwire/clientread.go
@@ -152,7 +152,6 @@
 	}
 	if errors.Is(err, syscall.EAGAIN) {
 		c.maxBacklogWait = 0 // what arrives from now on has not been in the backlog
-		c.foundNothing = c.bodyLeft == 0
 	}
 	if err != nil || read <= 0 {
 		return read, 0, err
--- a/internal/httpwire/pacing.go
+++ b/internal/httpwire/pacing.go
@@ -19,8 +19,9 @@
 	pauseDoubling = 256
 )
 
-// beforeAnswer notes whether the client has sent anything behind the current request before it can have read the answer, which
-// is about to be written. The connection may be nil. If the request took any time, the server's reader has found out already.
+// beforeAnswer notes whether the client has waited for the answer to the current request, which is about to be written: it has
+// if it has sent nothing behind the request until now. A moment earlier says nothing, because a client that sends much does so
+// in steps. The connection may be nil.
 func (c *trackedConn) beforeAnswer() {
 	if c == nil {
 		return
--- a/internal/httpwire/pacing_test.go
+++ b/internal/httpwire/pacing_test.go
@@ -148,3 +148,30 @@
 		t.Errorf("%d of %d requests were paused, want none", paused, requests)
 	}
 }
+
+// A request that comes while the one before is handled has not waited for its answer, even though nothing had arrived when the
+// handling began.
+func TestRequestDuringAnotherHasNotWaited(t *testing.T) {
+	backend := newFakeBackend(t)
+	l := newLoopback(t, backend.address(), dialTCP, true)
+	client := l.dialFront()
+	send(client, requestWithID("first"))
+	first := <-backend.conns
+	if _, _, err := first.readRequest(); err != nil {
+		t.Fatal(err)
+	}
+	send(client, requestWithID("second"))
+	first.respond("x")
+	first.Close()
+	client.readResponse(t)
+	second := <-backend.conns
+	if _, _, err := second.readRequest(); err != nil {
+		t.Fatal(err)
+	}
+	second.respond("x")
+	second.Close()
+	client.readResponse(t)
+	if paused := l.front.PausedRequests(); paused != 1 {
+		t.Errorf("requests paused = %d, want 1", paused)
+	}
+}
--- a/internal/httpwire/trackedconn.go
+++ b/internal/httpwire/trackedconn.go
@@ -45,7 +45,7 @@
 	awaitsMemory    bool          // bytes at the socket are not read before memory is reserved for them
 	held            *reservation  // memory of the request that is arriving; nil: none
 	readDeadline    time.Time     // zero: none
-	foundNothing    bool          // after the previous request, the client had not yet sent anything more
+	foundNothing    bool          // the client had sent nothing more when the previous answer was about to be written
 	sentAhead       int           // bytes that the client has sent since it last waited for an answer, as far as they were read
 	backToBack      int           // number of requests up to the current one that followed the one before without a pause
 	requestStart    time.Time     // when the first byte of the request arrived; zero: not observed
