A test writes its programs before it starts any command

A child that is forked while the file is open for writing holds it open until its own exec, and the kernel refuses to execute a file that is open for writing (ETXTBSY).

Change: the files are written before t.Parallel, that is before any subtest goes on with its command. The checks are the same.

--- a/internal/ci/tests_test.go
+++ b/internal/ci/tests_test.go
@@ -101,10 +101,12 @@
 		{"fails with another seed", red, 1, "11", 1, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
 			dir := t.TempDir()
+			// Written before any subtest starts a command: a child that is forked meanwhile would hold the program open for
+			// writing, and it could not be executed (ETXTBSY).
 			writeFile(t, dir, "bin/e2e", fmt.Sprintf("#!/bin/sh\nexit %d\n", c.status), 0o700)
 			writeFile(t, dir, "KNOWN-RED.txt", c.red, 0o600)
+			t.Parallel()
 			run := exec.CommandContext(t.Context(), "bash", script, "srv", "--seed", c.seed)
 			run.Dir = dir
 			out, err := run.CombinedOutput()
