A request that crosses an eviction is no longer answered 400

Callers could see: 400 (failed) for a valid request that arrives in the moment in which its idle connection is closed to make room.

Cause: internal/httpwire/clientread.go, readSocket, returns net.ErrClosed from the moment in which a connection is found idle. net/http replies 400 to any error of reading that is not the end of the stream, a timeout or a failed read, and the connection is closed only a moment later, by another goroutine.

Change: the error is a *net.OpError of a read, which net/http does not answer. It still is net.ErrClosed for errors.Is.

Evidence: TestEvictedConnGetsNoAnswerFromServer fails without the change: the server answered "HTTP/1.1 400 Bad Request". The protocol lets an agent close a connection between requests, and the client then sends the request once more.

--- a/internal/httpwire/clientread.go
+++ b/internal/httpwire/clientread.go
@@ -129,13 +129,17 @@
 	return c.onRead(b[:read], c.maxBacklogWait), err
 }
 
+// errEvicted is the error of reading from an evicted connection, which is about to be closed. It is a failed read in the form
+// that makes net/http end the connection without an answer: it would answer 400 to a request that it has not seen.
+var errEvicted = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+
 // readSocket reads the bytes available on a client's socket without blocking, and returns their number and how many of them
 // Read returns now. It fails if the connection was evicted or its request rejected.
 func (c *trackedConn) readSocket(fd int, b []byte) (read, n int, err error) {
 	c.sockets.mu.Lock()
 	defer c.sockets.mu.Unlock()
 	if c.evicted {
-		return 0, 0, net.ErrClosed
+		return 0, 0, errEvicted
 	}
 	if c.rejected {
 		return 0, 0, os.ErrDeadlineExceeded
--- a/internal/httpwire/sockets_test.go
+++ b/internal/httpwire/sockets_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"testing"
@@ -196,6 +197,23 @@
 	}
 }
 
+// A request that arrives between the check that finds its connection idle and the close must not be answered by net/http: it
+// would answer 400, and the client would count a valid request as failed instead of sending it again.
+func TestEvictedConnGetsNoAnswerFromServer(t *testing.T) {
+	front := newLoopback(t, "app:1", dialTCP, true)
+	client := front.dialFront()
+	s := front.front.sockets
+	waitUntil(func() bool { return s.Usage().IdleClients == 1 })
+	if _, isIdle := s.popIdleClient(s.newConns, 0); !isIdle {
+		t.Fatal("the new connection was not found idle")
+	}
+	send(client, validRequest)
+	answer, err := io.ReadAll(client.in)
+	if len(answer) > 0 {
+		t.Errorf("the server answered %q (%v), want no answer", answer, err)
+	}
+}
+
 // The server's check whether the client has disconnected may read the first byte of the next request early. Then the
 // connection is not idle, and its request can be rejected if it stays incomplete.
 func TestNextRequestReadEarly(t *testing.T) {
