Answer 503 on a new connection before it is closed to make room

Cause: internal/httpwire/eviction.go, freeOne, rule 5: while sockets are short, a new connection on which nothing has arrived for 20 ms is closed. A client that is short of processor time sends later, and its request meets the close. A client repeats such a request by itself only on a connection that was used before.

Change: the connection is answered 503 before it is closed. The write does not block. It is counted (unsent_rejected, onyxgate_new_connections_rejected_total). The same holds for new connections that a shutdown closes.

Measured: TestRequestCrossesEviction fails without the change ("unexpected EOF").

--- a/internal/assembly/metrics.go
+++ b/internal/assembly/metrics.go
@@ -41,6 +41,7 @@
 	{"onyxgate_client_connections_receiving", "client connections on which a request has begun to arrive and is not complete", func(u httpwire.SocketUsage) float64 { return float64(u.ReceivingClients) }},
 	{"onyxgate_accept_blocked_seconds_total", "time for which new connections had to wait in the backlog for a socket", func(u httpwire.SocketUsage) float64 { return u.AcceptBlocked.Seconds() }},
 	{"onyxgate_incomplete_requests_rejected_total", "requests rejected before they were complete, to make room for others", func(u httpwire.SocketUsage) float64 { return float64(u.IncompleteRejected) }},
+	{"onyxgate_new_connections_rejected_total", "new connections answered with a rejection and closed before a byte had arrived, to make room for others", func(u httpwire.SocketUsage) float64 { return float64(u.UnsentRejected) }},
 }
 
 var memoryMetrics = []metric[httpwire.MemoryUsage]{
--- a/internal/assembly/report.go
+++ b/internal/assembly/report.go
@@ -56,7 +56,7 @@
 		"attempts_open": n.OpenAttempts, "attempts_ended": fmt.Sprint(n.AttemptsByStatus[policy.StatusServed:]), "attempts_withheld": n.AttemptsWithheld,
 		"sockets": sockets.Open, "client_connections": sockets.Clients, "client_connections_idle": sockets.IdleClients,
 		"client_connections_receiving": sockets.ReceivingClients, "accept_blocked_ms": sockets.AcceptBlocked.Milliseconds(),
-		"incomplete_rejected": sockets.IncompleteRejected, "requests_paused": s.front.PausedRequests(),
+		"incomplete_rejected": sockets.IncompleteRejected, "unsent_rejected": sockets.UnsentRejected, "requests_paused": s.front.PausedRequests(),
 		"memory_reserved_bytes": memory.Used, "memory_reserved_peak_bytes": memory.Peak,
 		"memory_waited": memory.Waited, "memory_refused": memory.Refused, "memory_taken_back": memory.Evicted,
 		"backend_connections_opened": opened, "backend_connections_idle": idle, "attempts_without_socket": withoutSocket,
--- a/internal/httpwire/eviction.go
+++ b/internal/httpwire/eviction.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,7 +18,7 @@
 	idleGrace = 20 * time.Millisecond
 	// newConnGrace is how long a connection without a request yet is protected from eviction, unless nothing else can be
 	// closed. A shorter silence is normal, because a slow client takes time to send a request head, and its request is
-	// lost if the connection is closed. After that time, the connection may be one of hundreds that never carry a request.
+	// rejected if the connection is closed. After that time, the connection may be one of hundreds that never carry a request.
 	newConnGrace = time.Second
 
 	// incompleteGrace is how long an incomplete request is protected from being rejected to make room. With a shorter
@@ -76,7 +78,7 @@
 //
 //  3. a backend connection, if the budget is full
 //  4. a client connection between requests
-//  5. a client connection that was accepted at least idleGrace ago: its client may be about to send a request
+//  5. a client connection without a request that was accepted at least idleGrace ago
 //  6. a client connection whose request has been incomplete for at least incompleteGrace: the request is rejected, and
 //     its connection closed soon afterwards
 func (s *Sockets) freeOne(o occupancy) {
@@ -103,21 +105,41 @@
 
 // closeIdleClient closes the first connection of a list, which is its oldest entry, if it has been listed for at least
 // the grace period, and reports whether it closed one. A connection with unread data may carry a request: it is removed
-// from the list and the next one is tried.
+// from the list and the next one is tried. On a new connection, the request that may be on its way is rejected first.
 func (s *Sockets) closeIdleClient(from *list.List, grace time.Duration) (closed bool) {
 	for range maxBusySkipped {
 		conn, isIdle := s.popIdleClient(from, grace)
 		if conn == nil {
 			return false
 		}
-		if isIdle {
-			conn.Close()
-			return true
+		if !isIdle {
+			continue
 		}
+		if from == s.newConns {
+			conn.rejectUnsent()
+		}
+		conn.Close()
+		return true
 	}
 	return false
 }
 
+// rejectUnsent answers 503 on an evicted connection that has not carried a request yet, because its first one may be on its
+// way. A client sends a request again if it crosses the close of a connection that was used before, but not if it was the
+// first one. Nothing else is written to an evicted connection. The call does not block: the answer is the first thing that is
+// written, and fits into the socket's buffer.
+func (c *trackedConn) rejectUnsent() {
+	if c.rawConn == nil {
+		return
+	}
+	answer := []byte(closingAnswer(http.StatusServiceUnavailable, rejectedText))
+	// An error means that the client has closed the connection.
+	_ = c.rawConn.Control(func(fd uintptr) { _, _ = syscall.Write(int(fd), answer) })
+	c.sockets.mu.Lock()
+	defer c.sockets.mu.Unlock()
+	c.sockets.unsentRejected++
+}
+
 // popIdleClient removes and returns the first connection of a list, or returns nil if the list is empty or its first
 // entry has not been listed for the grace period. If the connection has no unread data, isIdle is true and the
 // connection is marked as evicted, so that nothing is read from it any more.
--- a/internal/httpwire/incomplete.go
+++ b/internal/httpwire/incomplete.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -160,7 +161,12 @@
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(headAnswerTimeout))
 	// If the write fails, the client has closed the connection.
-	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		status, http.StatusText(status), len(text), text)
+	_, _ = io.WriteString(c.Conn, closingAnswer(status, text))
 	c.Close()
 }
+
+// closingAnswer returns a whole response, after which the connection is closed.
+func closingAnswer(status int, text string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), len(text), text)
+}
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -57,6 +57,7 @@
 	backlogSince     time.Time     // no connection has been in the backlog for longer; zero: none has had to wait
 
 	incompleteRejected int64 // requests rejected because they were incomplete and their sockets were needed
+	unsentRejected     int64 // new connections closed, with a rejection, before a byte of a request had arrived
 }
 
 // NewSockets returns a budget for a process that may open limit descriptors; 0 means no limit.
@@ -88,6 +89,9 @@
 	AcceptBlocked    time.Duration // total time for which new connections had to wait in the backlog for a socket
 	// IncompleteRejected is the number of requests that were rejected before they were complete, to make room for others.
 	IncompleteRejected int64
+	// UnsentRejected is the number of new connections that were answered with a rejection and closed, to make room for others,
+	// before a byte of a request had arrived.
+	UnsentRejected int64
 }
 
 // Usage returns the current use of the budget.
@@ -98,6 +102,7 @@
 		Open: s.used, Clients: s.clients,
 		IdleClients: s.idleConns.Len() + s.newConns.Len(), ReceivingClients: s.receivingConns.Len(),
 		AcceptBlocked: s.acceptBlocked, IncompleteRejected: s.incompleteRejected,
+		UnsentRejected: s.unsentRejected,
 	}
 	if !s.acceptBlockedAt.IsZero() {
 		usage.AcceptBlocked += time.Since(s.acceptBlockedAt)
--- a/internal/httpwire/sockets_test.go
+++ b/internal/httpwire/sockets_test.go
@@ -1,6 +1,7 @@
 package httpwire
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -197,6 +198,37 @@
 	}
 }
 
+// A request that crosses the close of its connection is repeated by its client only if the connection was used before. On a
+// new connection it must be answered.
+func TestRequestCrossesEviction(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		isNew bool
+		want  string // status of the answer; empty for none
+	}{
+		{"new connection", true, "503"},
+		{"connection that was used before", false, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client, socket := connectedPair(t)
+			s := NewSockets(0)
+			conn := s.track(socket, true)
+			s.ConnIdle(conn, c.isNew)
+			conn.listedAt = time.Time{}
+			s.CloseIdleClients()
+			send(client, validRequest)
+			answer, _, err := readAnswer(bufio.NewReader(client))
+			answered := err == nil && answer.Close && fmt.Sprint(answer.StatusCode) == c.want
+			if !conn.closed || answered != (c.want != "") {
+				t.Errorf("closed = %v, answer = %+v, %v; want it closed and the status %q", conn.closed, answer, err, c.want)
+			}
+			if n := s.Usage().UnsentRejected; (n == 1) != c.isNew {
+				t.Errorf("new connections rejected = %d, want 1 only if the connection is new", n)
+			}
+		})
+	}
+}
+
 // A request that arrives between the check that finds its connection idle and the close must not be answered by net/http: it
 // would answer 400, and the client would count a valid request as failed instead of sending it again.
 func TestEvictedConnGetsNoAnswerFromServer(t *testing.T) {
