Instances under test get addresses that nothing else can take

Cause: in the rig. internal/fake/loopback, FreeAddress returned a port that the kernel had chosen and could choose again before the instance listened. If a backend of another test's fleet gets it, the instance exits, cmd/e2e/cluster.go, awaitListening, takes the backend's listener for it, and its clients' requests count as attempts of the other fleet's instance.

Change: an instance gets a random host in 127.64.0.0/10 and port 8443, which the kernel gives to no one, and is not started if something listens there already.

--- a/cmd/e2e/cluster.go
+++ b/cmd/e2e/cluster.go
@@ -130,8 +130,25 @@
 	return c.awaitListening(options.instance, p)
 }
 
+// errAddressTaken means that an instance can't listen on its address: what listens there would be taken for the instance, and
+// would get the requests of its clients.
+var errAddressTaken = errors.New("something else listens on the address of the instance")
+
+// checkAddressFree returns errAddressTaken if something listens on an instance's address before the instance is started.
+func (c *cluster) checkAddressFree(instance int) error {
+	conn, err := loopback.Dial(c.addresses[instance], dialTimeout)
+	if err != nil {
+		return nil
+	}
+	conn.Close()
+	return fmt.Errorf("%w: %s, %s", errAddressTaken, instanceName(instance), c.addresses[instance])
+}
+
 // launch starts the process of an instance.
 func (c *cluster) launch(options startOptions) (*process, error) {
+	if err := c.checkAddressFree(options.instance); err != nil {
+		return nil, err
+	}
 	name := instanceName(options.instance)
 	text, err := c.fleet.Configuration(fleet.InstanceOptions{
 		Index: options.instance, Name: name, Listen: c.addresses[options.instance], Seed: options.seed,
--- a/internal/fake/loopback/loopback.go
+++ b/internal/fake/loopback/loopback.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"syscall"
 	"time"
@@ -12,7 +13,8 @@
 
 const (
 	anyPort         = "127.0.0.1:0"
-	maxPortAttempts = 20 // for ListenPair
+	freePort        = "8443" // of FreeAddress
+	maxPortAttempts = 20     // for ListenPair and FreeAddress
 )
 
 // Listen opens a TCP listener on a free port.
@@ -55,15 +57,24 @@
 	return nil, nil, inUse
 }
 
-// FreeAddress returns an address on which nothing listens at the time of the call. Another process may take the
-// port before the caller does. Callers treat that as a failure of the test setup, not of the program under test.
+// FreeAddress returns an address on which nothing listens at the time of the call. No other function of this package
+// returns it: its host is drawn at random from 127.64.0.0/10, and its port is not among those that the kernel chooses.
+// So it stays free while the process that listens on it is restarted, whatever else runs on the machine.
 func FreeAddress() (string, error) {
-	listener, err := Listen()
-	if err != nil {
-		return "", err
+	var inUse error
+	for range maxPortAttempts {
+		host := net.IPv4(127, byte(64+rand.IntN(64)), byte(rand.IntN(256)), byte(1+rand.IntN(254)))
+		address := net.JoinHostPort(host.String(), freePort)
+		listener, err := ListenOn(address)
+		if err == nil {
+			return address, listener.Close()
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return "", err
+		}
+		inUse = err
 	}
-	address := listener.Addr().String()
-	return address, listener.Close()
+	return "", inUse
 }
 
 // Dial connects to an address within a timeout. It can't be canceled, because a client completes a request that it
--- a/internal/fake/loopback/loopback_test.go
+++ b/internal/fake/loopback/loopback_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strconv"
 	"syscall"
 	"testing"
 )
@@ -69,3 +70,27 @@
 		t.Errorf("UDP address = %v, want %v", packets.LocalAddr(), free)
 	}
 }
+
+// An address from FreeAddress must stay free until it is used, also again after a restart. With a port that the kernel chose,
+// another test's listener could take it meanwhile, and would get the requests for the process that should listen there.
+func TestFreeAddressStaysFree(t *testing.T) {
+	const kernelPortsBegin = 32768 // unless the host is configured otherwise
+	taken := map[string]bool{}
+	for range 50 {
+		address, err := FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		host, port, err := net.SplitHostPort(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if number, err := strconv.Atoi(port); err != nil || number >= kernelPortsBegin {
+			t.Errorf("FreeAddress = %s, whose port the kernel may choose for others", address)
+		}
+		if ip := net.ParseIP(host); !ip.IsLoopback() || ip.Equal(net.IPv4(127, 0, 0, 1)) || taken[address] {
+			t.Errorf("FreeAddress = %s, want a loopback address that no other listener uses", address)
+		}
+		taken[address] = true
+	}
+}
