The rig counts an attempt from the arrival of its bytes, not from their reading

Cause: in the rig. internal/fake/fleet/audit.go and cmd/e2e/clients_watch.go took the time at which a backend's goroutine had read the attempt. On a busy host that is up to half a second after its bytes arrived.

Change: the time is that of the last bytes on the connection, as the kernel reports it (TCP_INFO). What the protocol counts is the arrival; the bound of 0.15 s is the same. If the report is imprecise, the time is too late rather than too early.

--- a/cmd/e2e/clients_watch.go
+++ b/cmd/e2e/clients_watch.go
@@ -73,13 +73,12 @@
 	delete(d.leftAt, id)
 }
 
-// attemptArrived records that an attempt of a request has reached a backend.
-func (d *departures) attemptArrived(id string) {
-	now := time.Now()
+// attemptArrived records that an attempt of a request has reached a backend at the given time.
+func (d *departures) attemptArrived(id string, arrivedAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if at, left := d.leftAt[id]; left {
-		d.late[id] = now.Sub(at)
+		d.late[id] = arrivedAt.Sub(at)
 	}
 }
 
--- a/internal/fake/fleet/audit.go
+++ b/internal/fake/fleet/audit.go
@@ -31,7 +31,7 @@
 // process and whether the backend was draining.
 func (f *Fleet) attemptArrived(b *Backend, a *attempt) {
 	if f.onAttempt != nil {
-		f.onAttempt(a.requestID)
+		f.onAttempt(a.requestID, a.arrivedAt)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fake/fleet/backend.go
+++ b/internal/fake/fleet/backend.go
@@ -72,9 +72,10 @@
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			b.serve(instance, w, r)
-		})}
+		server := &http.Server{
+			Handler:     http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serve(instance, w, r) }),
+			ConnContext: withConn,
+		}
 		b.listeners, b.servers = append(b.listeners, listener), append(b.servers, server)
 		go func() { _ = server.Serve(listener) }() // returns once close is called
 	}
@@ -127,7 +128,8 @@
 	class          Class
 	key            string // affinity key: the last segment of the path
 	idempotencyKey string
-	draining       bool // the backend was draining when the attempt arrived
+	arrivedAt      time.Time // when its last bytes reached this host
+	draining       bool      // the backend was draining when the attempt arrived
 }
 
 func newAttempt(instance int, r *http.Request) attempt {
@@ -137,6 +139,7 @@
 		class:          classOf(r.URL.Path),
 		key:            r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:],
 		idempotencyKey: r.Header.Get("Idempotency-Key"),
+		arrivedAt:      lastArrival(r),
 	}
 }
 
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -31,8 +31,9 @@
 
 	MemoryMB, Sockets int // limits of each instance; 0 means the default
 
-	// OnAttempt, if set, is called with the id of each request that reaches a backend whole.
-	OnAttempt func(requestID string)
+	// OnAttempt, if set, is called with the id of each request that reaches a backend whole, and the time at which its last
+	// bytes did.
+	OnAttempt func(requestID string, arrivedAt time.Time)
 }
 
 // Fleet is the platform's side for a number of instances. Linger, KeyAffinity and PlatformOverride must be set before
@@ -47,8 +48,8 @@
 	DrainsNotified   int            // number of notifications to an instance that a backend is draining
 	LatestAfterDrain time.Duration  // longest time from notifying an instance of a drain to the arrival of an attempt from it
 
-	memoryMB, sockets int          // limits of each instance
-	onAttempt         func(string) // may be nil
+	memoryMB, sockets int                     // limits of each instance
+	onAttempt         func(string, time.Time) // may be nil
 
 	mu             sync.Mutex // guards everything below
 	backends       []*Backend // all ever started, in that order
