New clients leave sockets to the backends while attempts find none

Cause: internal/httpwire/eviction.go, freeOne, rule 3: when the budget is full, a new client takes the socket of a backend connection that has just become idle, up to 0.8 of the budget. Each request needs one socket for its client and one for its backend, so the next attempts find none.

Ruled out: memory (memory_waited 0) and the processor (3.7 of 8 s).

Change: while an attempt has found no socket within the last 0.1 s and clients hold half of the budget, a new client waits in the backlog for a client's socket.

TestClientsLeaveSocketsToBackends fails without the change.

--- a/internal/httpwire/eviction.go
+++ b/internal/httpwire/eviction.go
@@ -26,6 +26,10 @@
 	// connections wait in the backlog would run out of time: clients with little time left wait for about 250 ms.
 	incompleteGrace = 150 * time.Millisecond
 
+	// backendsShortTime is for how long backends count as short of sockets after a connection to one found none. Taking a socket
+	// from them again soon would let the next attempts fail.
+	backendsShortTime = 100 * time.Millisecond
+
 	// maxBusySkipped limits how many connections closeIdleClient skips because they turn out not to be idle.
 	maxBusySkipped = 8
 
@@ -38,6 +42,7 @@
 	full             bool // no connection can be added
 	clientsOverShare bool // clients hold at least clientShare of the budget
 	hasRoom          bool // there is room for the requested connection
+	mayTakeIdle      bool // an idle connection to a backend may be closed for the requested connection
 }
 
 func (s *Sockets) occupancy(isClient bool) occupancy {
@@ -49,6 +54,10 @@
 	}
 	clientsFull := isClient && s.clients >= s.ClientLimit()
 	o.hasRoom = !o.full && !clientsFull
+	// Each request needs a socket for its client and one for its backend. A client that takes one from the backends, while
+	// these are short of them, would only have its request rejected after others.
+	isBalanced := float64(s.clients) < balancedClientShare*float64(s.limit)
+	o.mayTakeIdle = !isClient || isBalanced || time.Since(s.backendsShortAt) >= backendsShortTime
 	return o
 }
 
@@ -66,9 +75,19 @@
 	if after.full {
 		s.logShortage()
 	}
+	if !after.hasRoom && !isClient {
+		s.noteBackendsShort()
+	}
 	return after.hasRoom
 }
 
+// noteBackendsShort records that a connection to a backend has found no socket.
+func (s *Sockets) noteBackendsShort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backendsShortAt = time.Now()
+}
+
 // freeOne frees at most one socket, trying the connections that are least likely to be needed first:
 //
 //  1. a client connection without a request that was accepted at least newConnGrace ago
@@ -76,7 +95,8 @@
 //
 // If there is no room for the requested connection, it goes on with:
 //
-//  3. a backend connection, if the budget is full
+//  3. an idle connection to a backend, if the budget is full; not for a client's connection while backends are short of
+//     sockets and clients hold at least balancedClientShare
 //  4. a client connection between requests
 //  5. a client connection without a request that was accepted at least idleGrace ago
 //  6. a client connection whose request has been incomplete for at least incompleteGrace: the request is rejected, and
@@ -91,7 +111,7 @@
 	if o.hasRoom {
 		return
 	}
-	if o.full && s.closeIdleBackend() {
+	if o.full && o.mayTakeIdle && s.closeIdleBackend() {
 		return
 	}
 	if s.closeIdleClient(s.idleConns, idleGrace) {
--- a/internal/httpwire/sockets.go
+++ b/internal/httpwire/sockets.go
@@ -21,6 +21,8 @@
 	// need about a third of the budget for their requests. Clients that send one request and stay connected would fill
 	// that third and lock out all others, so eviction starts below it.
 	clientShare = 0.25
+	// balancedClientShare is the share at which each client connection can have one to a backend.
+	balancedClientShare = 0.5
 	// maxClientShare is the largest share of the budget for clients. Without sockets for backends, no open request could
 	// make progress.
 	maxClientShare = 0.8
@@ -52,6 +54,7 @@
 	idleConns        *list.List // of *trackedConn: clients between two requests, oldest entry first
 	receivingConns   *list.List // of *trackedConn: clients whose request has begun to arrive, oldest entry first
 	shortageLoggedAt time.Time
+	backendsShortAt  time.Time     // when a connection to a backend last found no socket
 	acceptBlockedAt  time.Time     // since when accepting has been blocked; zero: it is not
 	acceptBlocked    time.Duration // total time for which accepting was blocked, up to acceptBlockedAt
 	backlogSince     time.Time     // no connection has been in the backlog for longer; zero: none has had to wait
--- a/internal/httpwire/sockets_test.go
+++ b/internal/httpwire/sockets_test.go
@@ -79,6 +79,49 @@
 	})
 }
 
+// While attempts find no socket, a new client must not take an idle one from the backends: each request needs a socket for its
+// client and one for its backend, and requests of clients that are already served would be rejected for lack of the latter.
+func TestClientsLeaveSocketsToBackends(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		clients      int
+		backendShort bool          // an attempt has found no socket
+		later        time.Duration // time since then
+		hasRoom      bool          // a new client gets the socket of the idle backend connection
+	}{
+		{"backends are short", 5, true, 0, false},
+		{"backends are short, clients hold less than half", 4, true, 0, true},
+		{"backends were short", 5, true, backendsShortTime, true},
+		{"backends were not short", 5, false, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := NewSockets(reservedSockets + 10)
+				idle := false // there is an idle connection to a backend
+				s.closeIdleBackend = func() bool {
+					closed := idle
+					if idle {
+						s.used, idle = s.used-1, false
+					}
+					return closed
+				}
+				s.clients, s.used = c.clients, 10
+				if c.backendShort && s.makeRoom(false) {
+					t.Fatal("room for a connection to a backend, want none")
+				}
+				idle = true // an attempt has ended
+				time.Sleep(c.later)
+				if hasRoom := s.makeRoom(true); hasRoom != c.hasRoom || idle == c.hasRoom {
+					t.Errorf("room for a client = %v, the idle connection to a backend is kept = %v; want %v and %v", hasRoom, idle, c.hasRoom, !c.hasRoom)
+				}
+				if !s.makeRoom(false) {
+					t.Error("no room for a connection to a backend, want it even while backends are short")
+				}
+			})
+		})
+	}
+}
+
 // closedIndices returns the indices of the closed connections.
 func closedIndices(conns []*trackedConn) []int {
 	var closed []int
