One function reads the memory of a process in the end-to-end tests

Need: anonymousMB (cmd/e2e/clients_watch.go) repeated residentMB (cluster.go) but for the name of the line in /proc/PID/status.

Change: memoryMB takes that name, residentMemory or anonymousMemory. No change of behaviour.

--- a/cmd/e2e/clients_watch.go
+++ b/cmd/e2e/clients_watch.go
@@ -3,9 +3,6 @@
 // What the clients scenario observes from outside: the memory of the instance, and attempts for clients that have left.
 
 import (
-	"fmt"
-	"os"
-	"strings"
 	"sync"
 	"time"
 )
@@ -19,7 +16,7 @@
 	ticker := time.NewTicker(memorySampleInterval)
 	defer ticker.Stop()
 	for {
-		peak = max(peak, anonymousMB(p.command.Process.Pid))
+		peak = max(peak, memoryMB(p.command.Process.Pid, anonymousMemory))
 		select {
 		case <-ended:
 			return peak
@@ -28,21 +25,6 @@
 	}
 }
 
-// anonymousMB returns the anonymous resident memory of a process, or 0 if the process has exited.
-func anonymousMB(pid int) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(text), "\n") {
-		var kb float64
-		if n, _ := fmt.Sscanf(line, "RssAnon: %f kB", &kb); n == 1 {
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
 // departures records when clients left with requests unanswered, and which attempts of these requests arrived later.
 type departures struct {
 	mu     sync.Mutex
--- a/cmd/e2e/cluster.go
+++ b/cmd/e2e/cluster.go
@@ -233,7 +233,7 @@
 	c.mu.Unlock()
 	for instance, p := range running {
 		if p != nil {
-			c.usages[instance].residentMB = residentMB(p.command.Process.Pid)
+			c.usages[instance].residentMB = memoryMB(p.command.Process.Pid, residentMemory)
 			p.signal(syscall.SIGTERM)
 		}
 	}
@@ -265,15 +265,21 @@
 	return violation
 }
 
-// residentMB returns the resident memory of a process as reported by the kernel, or 0 if the process has exited.
-func residentMB(pid int) float64 {
+// Memory of a process, by the names in which the kernel reports it.
+const (
+	residentMemory  = "VmRSS"
+	anonymousMemory = "RssAnon" // the part of the resident memory that is not backed by files
+)
+
+// memoryMB returns the memory of a process of the given kind in MB (2^20 bytes), or 0 if the process has exited.
+func memoryMB(pid int, kind string) float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.SplitSeq(string(text), "\n") {
 		var kb float64
-		if n, _ := fmt.Sscanf(line, "VmRSS: %f kB", &kb); n == 1 {
+		if n, _ := fmt.Sscanf(line, kind+": %f kB", &kb); n == 1 {
 			return kb / 1024
 		}
 	}
